Refuse what begins in the last moment of a planned stop

Ruled out: refusing from the order to stop on, which would refuse 2.3 s of requests that can be served.

--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -71,9 +71,15 @@
 
 // serveCaller serves a request that begins on this VM.
 func (m *Mesh) serveCaller(rw http.ResponseWriter, r *http.Request) {
-	m.flights.Add(1)
-	defer m.flights.Add(-1)
+	open := m.flights.enter()
+	defer m.flights.leave()
 	now := m.options.Clock.Now()
+	if !open {
+		q := &request{began: now}
+		q.id = r.Header.Get(m.options.Names.RequestID)
+		m.finish(rw, q, end{status: http.StatusServiceUnavailable, reason: gage.ReasonStopping, retryAfter: maxReturn / 4})
+		return
+	}
 	q, refusal := m.readCaller(now, r)
 	if refusal != nil {
 		m.finish(rw, q, *refusal)
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -90,8 +90,12 @@
 
 // serveForwarded runs work that another node brings.
 func (m *Mesh) serveForwarded(rw http.ResponseWriter, r *http.Request) {
-	m.flights.Add(1)
-	defer m.flights.Add(-1)
+	open := m.flights.enter()
+	defer m.flights.leave()
+	if !open {
+		writeReply(rw, refused(gage.ReasonStopping, ""))
+		return
+	}
 	w, err := m.readForwarded(r)
 	if err != nil {
 		m.log.warn("ForwardRefused", zap.Error(err))
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -124,7 +124,7 @@
 	registered atomic.Bool
 	// leftAt is the Unix time in nanoseconds at which leaving was set.
 	leftAt  atomic.Int64
-	flights atomic.Int64
+	flights flights
 	kick    chan struct{}
 
 	bounds atomic.Pointer[Bounds]
@@ -225,8 +225,11 @@
 	return since > time.Duration(part*float64(m.bounds.Load().Grace))
 }
 
+// Shut refuses every further request.
+func (m *Mesh) Shut() { m.flights.close() }
+
 // InFlight returns how many requests the node has in hand.
-func (m *Mesh) InFlight() int { return int(m.flights.Load()) }
+func (m *Mesh) InFlight() int { return m.flights.count() }
 
 // documentsChanged puts newer documents in force.
 func (m *Mesh) documentsChanged(now time.Time, s mirror.Snapshot) {
--- a/stand/plat/stops_test.go
+++ b/stand/plat/stops_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -111,3 +114,71 @@
 	<-stopped
 	assert.Equal(t, (<-answers).status, 0)
 }
+
+// A stop waits for a moment without requests. One that begins in the same
+// moment is refused and not cut.
+func TestStopBetweenRequestsCutsNothing(t *testing.T) {
+	const stops, senders = 24, 4
+	f := start(t)
+	for range stops {
+		f.add("search")
+	}
+	f.awaitAll("every node serves", func(i int) bool { return f.send(i, "GET", "/inner/1", "").status == 200 })
+	var ended sync.WaitGroup
+	cut := make(chan string, stops*senders)
+	for i := 3; i < len(f.vms); i++ {
+		stopped := make(chan struct{})
+		ended.Add(1 + senders)
+		go func() {
+			defer ended.Done()
+			f.vms[i].node.Stop()
+			close(stopped)
+		}()
+		for j := range senders {
+			go func() {
+				defer ended.Done()
+				if id := f.sendUntilCut(i, fmt.Sprintf("%s-%d-%d", t.Name(), i, j), stopped); id != "" {
+					cut <- id
+				}
+			}()
+		}
+	}
+	ended.Wait()
+	close(cut)
+	for id := range cut {
+		assert.Equal(t, len(f.runs(id)), 0, "%s ran and was not answered", id)
+	}
+}
+
+// sendUntilCut sends one request after the other to a node on one connection,
+// with pauses, until one is not answered; it returns that one's id, or "" when
+// the node stopped without.
+func (f *fleet) sendUntilCut(i int, name string, stopped <-chan struct{}) string {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-stopped:
+			return ""
+		case <-time.After(time.Duration(n%5) * time.Millisecond):
+		}
+		id := fmt.Sprintf("%s-%d", name, n)
+		// With a body that is a stream, net/http does not send it again.
+		r, err := http.NewRequest(http.MethodPost, "http://"+f.vms[i].settings.CallersAddress+"/inner/1", io.NopCloser(strings.NewReader("")))
+		if err != nil {
+			return id
+		}
+		r.Host = host
+		r.Header.Set("X-Request-Id", id)
+		r.Header.Set("X-Deadline-Milliseconds", "4000")
+		response, err := client.Do(r)
+		if err != nil {
+			return id
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return id
+		}
+	}
+}
