Do not prefer chains of calls that can no longer be finished

A lookup takes 0.7 s of its 1.2 s there with nothing waiting, so that those which end first mostly can't be finished; 50 ms left was taken for enough.

Change: a chain goes first only while the target has time for eight runs one after the other. The brake's later cuts are 0.1, 0.05 before, and a request counts as held up after 15 ms again.

Not measured on the grown site yet.

--- a/gage/graph/graph_test.go
+++ b/gage/graph/graph_test.go
@@ -40,6 +40,35 @@
 	return day
 }
 
+// strained is a registry of more and slower targets, in which a lookup takes
+// more than half of its time even when nothing waits.
+func strained() graph.Day {
+	const ms = time.Millisecond
+	day := graph.Day{
+		Services: []graph.Service{
+			{Name: "search", Slots: 78, Speeds: []float64{0.6, 1, 1.4, 0.6, 1, 1.4, 1, 1}},
+			{Name: "custody", Slots: 99, Speeds: []float64{0.7, 0.7, 1.6, 1}},
+			{Name: "calendar", Slots: 191, Speeds: []float64{0.7, 1.6}},
+			{Name: "ceremony", Slots: 129, Speeds: []float64{1}},
+		},
+		Kinds: []graph.Kind{
+			{Name: "lookup", Service: "search", Rank: 2, Work: 210 * ms, Objective: 1500 * ms, Deadline: 1200 * ms, PerSecond: 204, Calls: []string{"custody-read", "custody-read"}},
+			{Name: "lodge", Service: "custody", Rank: 0, Work: 270 * ms, Objective: 2000 * ms, Deadline: 1500 * ms, PerSecond: 54, Calls: []string{"calendar-read"}},
+			{Name: "date-check", Service: "calendar", Rank: 0, Work: 150 * ms, Objective: 500 * ms, Deadline: 1500 * ms, PerSecond: 58},
+			{Name: "booking", Service: "ceremony", Rank: 2, Work: 170 * ms, Objective: 600 * ms, Deadline: 1200 * ms, PerSecond: 16},
+			{Name: "custody-read", Service: "custody", Nested: true, Work: 15 * ms, Deadline: 2500 * ms, Calls: []string{"calendar-read"}},
+			{Name: "calendar-read", Service: "calendar", Nested: true, Work: 15 * ms, Deadline: 2000 * ms, Calls: []string{"venue-read", "venue-read", "venue-read", "venue-read"}},
+			{Name: "venue-read", Service: "ceremony", Nested: true, Work: 52 * ms, Deadline: 700 * ms},
+		},
+		Length: 24 * time.Second,
+		Seed:   20261204,
+	}
+	for i := range day.Kinds {
+		day.Kinds[i].Returns = 1
+	}
+	return day
+}
+
 // smaller divides slots and rates, so that a day is played in seconds.
 const smaller = 3
 
@@ -160,3 +189,18 @@
 	t.Logf("by arrival %.3f, by chain %.3f", worth(arrival), worth(chain))
 	assert.Assert(t, worth(chain) > worth(arrival)+0.05)
 }
+
+// Pattern: demand rises where chains of calls have little time to spare. To
+// prefer those that end first must not mean to work for those that can't be
+// finished.
+func TestBurstOnChainsWithLittleTime(t *testing.T) {
+	t.Parallel()
+	for _, burst := range []float64{1.8, 3} {
+		day := strained()
+		day.Troubles = []graph.Trouble{{At: 2 * time.Second, For: 18 * time.Second, Burst: burst}}
+		without, with := both(day)
+		t.Logf("burst by %g: without %.3f, with %.3f, lookups %+v", burst, worth(without), worth(with), with.Kinds["lookup"])
+		assert.Assert(t, worth(with) > worth(without))
+		assert.Assert(t, served(with.Kinds["lodge"]) > 0.9, "%+v", with.Kinds["lodge"])
+	}
+}
--- a/gage/state/brake/brake.go
+++ b/gage/state/brake/brake.go
@@ -34,7 +34,7 @@
 	// leave services idle until it has grown again.
 	firstFall  = 0.2
 	firstSteps = 5
-	fall       = 0.05
+	fall       = 0.1
 	// overFor is how long a route must go without a cut for an overload to be
 	// over.
 	overFor = 10 * time.Second
--- a/gage/state/slots/slots.go
+++ b/gage/state/slots/slots.go
@@ -16,9 +16,10 @@
 	// staleWait is how long the oldest request of a line may have waited
 	// before the newest is served first: the oldest would be late anyway.
 	staleWait = 150 * time.Millisecond
-	// hopeless is the time below which a nested request is not worth running
-	// before others: its answer would come too late for those above it.
-	hopeless = 50 * time.Millisecond
+	// chainRuns is how many runs at this target, one after the other, a chain
+	// of calls must still have time for: it mostly has more to do than the call
+	// that waits.
+	chainRuns = 8
 	// newTurn is how many grants there are to each one that goes to a new
 	// request while nested ones wait. They go before most, since their refusal
 	// wastes what was done above them, but must not starve those whose whole
@@ -29,7 +30,7 @@
 	// ownTimeGain weighs a new service time in the moving average.
 	ownTimeGain = 0.05
 	// pressedWait is the wait from which a request counts as held up.
-	pressedWait = 30 * time.Millisecond
+	pressedWait = 15 * time.Millisecond
 	// pressureHalfLife is how fast the pressure forgets, and pressureMass how
 	// many requests it takes at least to speak of pressure.
 	pressureHalfLife = 250 * time.Millisecond
@@ -293,8 +294,9 @@
 // nearest returns the nested request whose chain ends first, of those that can
 // still be finished.
 func (g *Gate) nearest(now time.Time) (nearest int, found bool) {
+	needed := chainRuns * g.ownTime
 	for at, t := range g.lines[0] {
-		if t.Ends.Sub(now) >= hopeless && (!found || t.Ends.Before(g.lines[0][nearest].Ends)) {
+		if t.Ends.Sub(now) > needed && (!found || t.Ends.Before(g.lines[0][nearest].Ends)) {
 			nearest, found = at, true
 		}
 	}
