Bring planned work into the platform's soak, and check what it promises

The soak killed, froze and disturbed; operators and targets did nothing. Now operators withdraw keys, add and remove a route, change a rate and take zones out, and targets leave, crash and begin cold at their old address; all of it overlaps with the faults, or comes alone with PLAN=Work. Checked besides what was: withdrawn keys, proper requests that are denied, routes that come and go, rates, zones, leaving and cold targets, planned stops, and the bound on repeats. Each check is shown a record that keeps and one that breaks its promise (TestCheckFindsEachBrokenPromise...).

--- a/stand/grind/files.go
+++ b/stand/grind/files.go
@@ -1,7 +1,6 @@
 package grind
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,45 +10,6 @@
 	"github.com/greengagewind/greengagewind/stand/plat"
 )
 
-const host = "registry.example"
-
-// workspaces each have one key.
-var workspaces = []string{"aurora", "boreal", "cumulus"}
-
-// key returns the key of a workspace.
-func key(workspace string) string { return "key-of-workspace-" + workspace }
-
-// config returns the operators' document.
-func config() []byte {
-	route := func(name, prefix, kind, service string, open bool) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": host, "prefix": prefix, "kind": kind, "timeout": "3s", "target_latency": "800ms",
-			"priority": 1, "service": service, "max_attempts": 2, "allow_anonymous": open,
-		}
-	}
-	services, tenants := []map[string]any{}, []map[string]any{}
-	for _, name := range []string{"search", "custody", "ceremony"} {
-		services = append(services, map[string]any{"name": name, "health_check_path": "/health", "cold_start": "1s", "cold_per_s": 50.0})
-	}
-	for _, name := range workspaces {
-		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{key(name)}, "rate_per_s": 100_000, "burst": 100_000})
-	}
-	text, err := json.Marshal(map[string]any{
-		"version": 1, "services": services, "tenants": tenants,
-		"routes": []map[string]any{
-			route("look", "/look/", "idempotent", "search", false),
-			route("lodge", "/lodge/", "non_idempotent", "custody", false),
-			route("custody-read", "/custody/", "idempotent", "custody", true),
-			route("venue-read", "/venue/", "idempotent", "ceremony", true),
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3s", "idle_timeout": "15s"},
-	})
-	if err != nil {
-		panic(err)
-	}
-	return text
-}
-
 // settings returns the settings file of a machine.
 func settings(m *machine, store string) []byte {
 	lines := []string{
@@ -58,8 +18,8 @@
 		fmt.Sprintf("zone = %q", m.zone),
 		fmt.Sprintf("internal_ports = [%d, %d]", portFirst, portLast),
 		fmt.Sprintf("application = %q", m.at(portLink)),
-		fmt.Sprintf("service = %q", m.target.Service),
-		`bounds = ["revoke=5000ms", "revoke_everywhere=true", "grace=6s"]`,
+		fmt.Sprintf("service = %q", m.service),
+		`bounds = ["revoke=5000ms", "revoke_everywhere=true", "grace=6s", "retry_budget_ratio=0.2", "budget_slack=50", "cold_overage=1.5", "cold_slack=5"]`,
 		"[listen]",
 		fmt.Sprintf("outbound = %q", m.at(portCallers)),
 		fmt.Sprintf("ready = %q", m.at(portReady)),
@@ -73,9 +33,10 @@
 	return []byte(strings.Join(lines, "\n") + "\n")
 }
 
-// target returns the target of a machine, with the calls of its service.
-func target(m *machine, service string) *plat.Target {
-	t := &plat.Target{ID: "i-" + m.name, Service: service, Zone: m.zone, Slots: 40, Work: 2 * time.Millisecond}
+// target returns a lifetime of the target of a machine, with the calls of its
+// service.
+func target(m *machine, service string, lifetime int) *plat.Target {
+	t := &plat.Target{ID: fmt.Sprintf("i-%s-%d", m.name, lifetime), Service: service, Zone: m.zone, Slots: 40, Work: 2 * time.Millisecond}
 	call := func(path string) plat.Call { return plat.Call{Outbound: m.at(portCallers), Host: host, Path: path} }
 	switch service {
 	case "search":
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -14,6 +14,8 @@
 
 // Run is one execution of a request at a target.
 type Run struct {
+	// At is when it began.
+	At        time.Time
 	ID        string
 	Method    string
 	URI       string
@@ -25,6 +27,12 @@
 	Body      int
 }
 
+// Arrival is a request that reached a target, whether it ran there or not.
+type Arrival struct {
+	At time.Time
+	ID string
+}
+
 // TargetFault is how a target misbehaves with a request.
 type TargetFault string
 
@@ -54,11 +62,13 @@
 	Work    time.Duration
 	// Calls are made, one after the other, for each request.
 	Calls []Call
+	// Warm is when the target, which started cold, is so no longer.
+	Warm time.Time
 
 	mu       sync.Mutex
 	runs     []Run
+	arrivals []Arrival
 	fault    TargetFault
-	cold     time.Duration
 	draining bool
 	sequence int64
 	born     int64
@@ -110,6 +120,13 @@
 	return append([]Run{}, t.runs...)
 }
 
+// Arrivals returns what has reached the target.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival{}, t.arrivals...)
+}
+
 // Canceled returns how many runs were given up by their callers.
 func (t *Target) Canceled() int {
 	t.mu.Lock()
@@ -153,6 +170,8 @@
 func (t *Target) begin(r *http.Request, body int) TargetFault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
+	t.arrivals = append(t.arrivals, Arrival{At: now, ID: r.Header.Get("X-Request-Id")})
 	if t.fault == TargetFull {
 		return t.fault
 	}
@@ -161,7 +180,7 @@
 		millis = -1
 	}
 	t.runs = append(t.runs, Run{
-		ID: r.Header.Get("X-Request-Id"), Method: r.Method, URI: r.RequestURI, Workspace: r.Header.Get("X-Tenant"),
+		At: now, ID: r.Header.Get("X-Request-Id"), Method: r.Method, URI: r.RequestURI, Workspace: r.Header.Get("X-Tenant"),
 		Caller: r.Header.Get("X-Caller-Service"), Expected: r.Header.Get("X-Expected-Instance"), Key: r.Header.Get("X-Key"),
 		Millis: millis, Body: body,
 	})
@@ -230,17 +249,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w.Header().Set("X-Instance-Id", t.ID)
-	w.Header().Set("X-Cold-Milliseconds", strconv.FormatInt(t.cold.Milliseconds(), 10))
+	w.Header().Set("X-Cold-Milliseconds", strconv.FormatInt(t.coldFor().Milliseconds(), 10))
 	if t.draining {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+func (t *Target) coldFor() time.Duration { return max(time.Until(t.Warm), 0) }
+
 // Beat sends a heartbeat to the node beside the target, with the state given.
 func (t *Target) Beat(control, state string, cold time.Duration) error {
 	t.mu.Lock()
 	t.sequence++
-	t.cold, t.draining = cold, state != "ready"
+	t.Warm, t.draining = time.Now().Add(cold), state != "ready"
 	body := map[string]any{
 		"address": t.Address, "born": t.born,
 		"server_info": map[string]any{"service": t.Service, "version": "v1", "zone": t.Zone, "slots": t.Slots},
