Hold nodes that have not listed the others to an equal share of a rate

Nodes got the configuration at 17.4 s and knew of no other node; after their first 1.5 s each divided the rate by its own demand alone and took all of it, up to six at once. That no node was known also made none count as isolated.

Change: until a node has listed the others in the store it takes no more than an equal share, of as many nodes as another one has listed, which nodes now tell each other, or else of 4,096. Ruled out: to count such a node as isolated, which would keep the share of its first moment, 1/64 in a fleet of any size.

Test: TestNodesThatHaveNotListedTheOthersKeepToAnEqualShare, red before.

--- a/gage/mesh.go
+++ b/gage/mesh.go
@@ -49,6 +49,9 @@
 	// Confirmed is how long ago the documents were known to be current; it is
 	// below 0 when they never were.
 	Confirmed time.Duration
+	// Fleet is how many nodes the node has listed in the store, 0 when it has
+	// not listed them since it started.
+	Fleet int
 	// Demand is the rate, in requests a second, at which callers of this node
 	// ask for each workspace, refused requests included.
 	Demand map[string]float64
--- a/gage/state/ration/ration.go
+++ b/gage/state/ration/ration.go
@@ -39,6 +39,19 @@
 	deadDemand = 0.01
 )
 
+// Sight is how much a node knows of the others.
+type Sight string
+
+// The sights.
+const (
+	// SightWhole: the node hears most of the others.
+	SightWhole Sight = "Whole"
+	// SightIsolated: it no longer does.
+	SightIsolated Sight = "Isolated"
+	// SightUnlisted: since it started it has not learnt who there is.
+	SightUnlisted Sight = "Unlisted"
+)
+
 // Table holds this node's part of each workspace's rate. It is safe for
 // concurrent use.
 type Table struct {
@@ -73,10 +86,9 @@
 	// debt is what was granted too early, at least 0: it is taken from the
 	// tokens that come.
 	debt float64
-	// nodes is how many share the rate; isolated tells that this node does not
-	// hear most of them.
-	nodes    int
-	isolated bool
+	// nodes is how many share the rate.
+	nodes int
+	sight Sight
 }
 
 // New returns a table without workspaces.
@@ -92,7 +104,7 @@
 	p := t.parts[workspace]
 	if p == nil {
 		share := 1 / float64(max(nodes, 1))
-		p = &part{share: share, divided: share, at: now, rate: rate, burst: burst, nodes: nodes, known: now}
+		p = &part{share: share, divided: share, at: now, rate: rate, burst: burst, nodes: nodes, sight: SightUnlisted, known: now}
 		p.bucket = bucket.New(now, rate*share, capacity(burst, share))
 		p.bucket.Tokens = startTokens * p.bucket.Burst
 		t.parts[workspace] = p
@@ -214,7 +226,7 @@
 // division would give. It reports whether that is much more.
 func (p *part) grow(now time.Time) bool {
 	share := min(shareOf(p.demand, p.others, p.nodes), maxGrowth*p.divided)
-	if p.isolated || p.settling(now) || share <= p.share {
+	if p.sight != SightWhole || p.settling(now) || share <= p.share {
 		return false
 	}
 	much := share > growthTold*p.divided
@@ -261,15 +273,16 @@
 }
 
 // Divide takes in what the other nodes ask for together; nodes is how many
-// there may be, also those not heard of yet. An isolated node,
-// which no longer hears most of the others, only ever lowers its shares: they
-// may have raised theirs.
-func (t *Table) Divide(now time.Time, others map[string]float64, nodes int, isolated bool) {
+// there may be, also those not heard of yet. An isolated node only ever lowers
+// its shares, since the others may have raised theirs. A node that has not
+// listed the others takes no more than an equal share: it may be alone with
+// its demand, and so may each of them.
+func (t *Table) Divide(now time.Time, others map[string]float64, nodes int, sight Sight) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for workspace, p := range t.parts {
 		p.decay(now)
-		p.others, p.nodes, p.isolated = others[workspace], nodes, isolated
+		p.others, p.nodes, p.sight = others[workspace], nodes, sight
 		p.refill(now)
 		p.correct(p.bounded(now, shareOf((p.askedThen+p.demand)/2, p.others, nodes)))
 		share := p.bounded(now, shareOf(p.demand, p.others, nodes))
@@ -281,10 +294,10 @@
 // bounded returns the share that a node may take when its demand is worth so
 // much.
 func (p *part) bounded(now time.Time, share float64) float64 {
-	if p.isolated {
+	if p.sight == SightIsolated {
 		share = math.Min(share, p.divided)
 	}
-	if p.settling(now) {
+	if p.sight == SightUnlisted || p.settling(now) {
 		share = math.Min(share, 1/float64(max(p.nodes, 1)))
 	}
 	return share
--- a/gage/state/ration/ration_test.go
+++ b/gage/state/ration/ration_test.go
@@ -58,6 +58,13 @@
 	return f
 }
 
+func (f *fleet) sight(i int) ration.Sight {
+	if f.cut[i] {
+		return ration.SightIsolated
+	}
+	return ration.SightWhole
+}
+
 // run lets the nodes ask at perSecond for so long.
 func (f *fleet) run(d time.Duration, perSecond []float64) {
 	owed := make([]float64, len(f.nodes))
@@ -112,7 +119,7 @@
 				heard++
 			}
 		}
-		n.Divide(f.now, map[string]float64{workspace: others}, max(heard, len(f.nodes)), f.cut[i])
+		n.Divide(f.now, map[string]float64{workspace: others}, max(heard, len(f.nodes)), f.sight(i))
 	}
 }
 
@@ -248,14 +255,14 @@
 	const nodes, high = 9, 100_000.0
 	n := ration.New()
 	n.SetLimits(start, workspace, high, high, nodes)
-	n.Divide(start.Add(news), map[string]float64{workspace: 500}, nodes, false)
+	n.Divide(start.Add(news), map[string]float64{workspace: 500}, nodes, ration.SightWhole)
 	now := start.Add(5 * time.Second)
-	n.Divide(now, map[string]float64{workspace: 500}, nodes, false)
+	n.Divide(now, map[string]float64{workspace: 500}, nodes, ration.SightWhole)
 	for range 200 {
 		now = now.Add(5 * time.Millisecond)
 		ok, _ := n.Take(now, workspace, false)
 		assert.Assert(t, ok)
-		n.Divide(now, map[string]float64{workspace: 1}, nodes, false)
+		n.Divide(now, map[string]float64{workspace: 1}, nodes, ration.SightWhole)
 	}
 }
 
@@ -284,3 +291,29 @@
 		assert.Assert(t, ok)
 	}
 }
+
+// All nodes start while the store turns their registration away, so that each
+// knows of no other.
+func TestNodesThatHaveNotListedTheOthersKeepToAnEqualShare(t *testing.T) {
+	const nodes, length = 9, 10 * time.Second
+	var tables []*ration.Table
+	for range nodes {
+		n := ration.New()
+		n.SetLimits(start, workspace, rate, burst, nodes)
+		tables = append(tables, n)
+	}
+	granted := 0
+	for now := start; now.Before(start.Add(length)); now = now.Add(tick) {
+		for _, n := range tables {
+			if now.Sub(start)%news == 0 {
+				n.Divide(now, nil, nodes, ration.SightUnlisted)
+			}
+			if ok, _ := n.Take(now, workspace, false); ok {
+				granted++
+			}
+		}
+	}
+	most := int(rate*length.Seconds() + burst)
+	assert.Assert(t, granted <= most, "%d granted, %d are allowed", granted, most)
+	assert.Assert(t, granted >= most/2, "%d granted of %d", granted, most)
+}
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -159,6 +159,17 @@
 	return others, heard + 1, known > 0 && 2*heard < known
 }
 
+// Fleet returns the largest number of nodes that another node has listed.
+func (r *Roster) Fleet() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fleet := 0
+	for _, p := range r.peers {
+		fleet = max(fleet, p.Fleet)
+	}
+	return fleet
+}
+
 // Known returns how many nodes there may be, this one included: those that
 // were heard, and those of which only the address is known.
 func (r *Roster) Known() int {
--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagewind/greengagewind/gage"
 	"github.com/greengagewind/greengagewind/gage/coordination/mirror"
+	"github.com/greengagewind/greengagewind/gage/state/ration"
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
 	"github.com/greengagewind/greengagewind/gage/transport/news"
 )
@@ -51,6 +52,7 @@
 		Target:    m.beside.state(now),
 		Revision:  s.Revision,
 		Confirmed: age,
+		Fleet:     int(m.listed.Load()),
 		Demand:    m.ration.Demand(now),
 		Leads:     m.brake.Learnt(now),
 	}
@@ -82,25 +84,39 @@
 	}
 }
 
-// unknownNodes stands in for the number of nodes while this one has not listed
-// them in the store.
-const unknownNodes = 64
+// unknownNodes stands in for the number of nodes while neither this node nor
+// one that it hears has listed them: the largest fleet.
+const unknownNodes = 4096
 
 // nodes returns how many nodes there may be.
 func (m *Mesh) nodes() int {
 	known := m.roster.Known()
-	if m.registered.Load() {
+	if m.listed.Load() > 0 {
 		return known
 	}
+	if fleet := m.roster.Fleet(); fleet > 0 {
+		return max(known, fleet)
+	}
 	return max(known, unknownNodes)
 }
 
+// sight returns how much this node knows of the others.
+func (m *Mesh) sight(isolated bool) ration.Sight {
+	switch {
+	case m.listed.Load() == 0:
+		return ration.SightUnlisted
+	case isolated:
+		return ration.SightIsolated
+	}
+	return ration.SightWhole
+}
+
 // tell sends this node's state, and, at a relay, what it knows of its own zone
 // and, at the regular times only, of the others: that is most of the news of a
 // large fleet.
 func (m *Mesh) tell(now time.Time, turn int, regular bool) {
 	others, nodes, isolated := m.roster.Demand(now)
-	m.ration.Divide(now, others, m.nodes(), isolated)
+	m.ration.Divide(now, others, m.nodes(), m.sight(isolated))
 	m.setRepeats(nodes)
 	state := m.state(now)
 	m.roster.Hear(now, state)
@@ -210,7 +226,7 @@
 	for _, e := range entries {
 		m.roster.Introduce(now, e.Key[len(m.options.NodePrefix):], string(e.Value))
 	}
-	m.registered.Store(true)
+	m.listed.Store(int64(len(entries)))
 	m.options.Logger.Info("Registered", zap.Int("Nodes", len(entries)))
 	m.tellSoon()
 	return nil
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -120,8 +120,9 @@
 
 	sequence atomic.Uint64
 	leaving  atomic.Bool
-	// registered tells that this node has listed the others in the store.
-	registered atomic.Bool
+	// listed is how many nodes this one has listed in the store, itself
+	// included, 0 until it has.
+	listed atomic.Int64
 	// leftAt is the Unix time in nanoseconds at which leaving was set.
 	leftAt  atomic.Int64
 	flights flights
