--- a/gage/graph/graph.go
+++ b/gage/graph/graph.go
@@ -289,7 +289,7 @@
 		if overloaded != k.Service {
 			p.brake.Observe(p.now, k.Name, overloaded)
 		}
-		if !ran && !served {
+		if !ran {
 			p.refuse(k, began, returned, false)
 			return
 		}
