Serve routes of kind upload, and refuse a route of an unknown kind alone

It refused the whole configuration for one unknown kind, so that no node ever had a configuration and every request was refused.

Ruled out: reading each unknown kind as non-idempotent. A kind may ask for handling that this version does not have, and the operators would not see it.

Change: upload is handled as non-idempotent. A route of an unknown kind is refused with 503 RouteRefused, and a log line at each configuration names it; the other routes are served.

Tests: TestRouteKinds, TestUploads*, TestStalledUpload*, TestBrokenUpload*, TestRejectedUpload*, TestRouteOfUnknownKindIsRefused; all fail on the old code, most of them since it has no such routes.

--- a/gage/config.go
+++ b/gage/config.go
@@ -104,6 +104,9 @@
 	// to, at least 1. The value 0 means that only the retry budget limits this
 	// number.
 	MaxAttempts int
+	// Refusal is why all requests of the route are refused, or "" if they are
+	// served.
+	Refusal string
 	// Splits divides the route's requests between services by weight. If it
 	// is empty, all requests go to Service.
 	Splits []Split
--- a/gage/enums.go
+++ b/gage/enums.go
@@ -57,9 +57,11 @@
 	// The API key belongs to no workspace.
 	ReasonUnknownKey Reason = "UnknownKey"
 	// No route matches the request.
-	ReasonNoRoute    Reason = "NoRoute"
-	ReasonBadRequest Reason = "BadRequest"
-	ReasonTooLarge   Reason = "TooLarge"
+	ReasonNoRoute Reason = "NoRoute"
+	// The route's configuration has a value that this version does not support.
+	ReasonRouteRefused Reason = "RouteRefused"
+	ReasonBadRequest   Reason = "BadRequest"
+	ReasonTooLarge     Reason = "TooLarge"
 	// The workspace's token bucket is empty.
 	ReasonOverRate Reason = "OverRate"
 	// No holder of the workspace's quota answered.
--- a/gage/transport/hop/hop.go
+++ b/gage/transport/hop/hop.go
@@ -103,6 +103,9 @@
 	Sent bool
 	// Dial is true if no connection could be opened.
 	Dial bool
+	// Body is the error of reading Request.Body, or nil. The server has then received
+	// an incomplete request.
+	Body error
 	Err  error
 }
 
@@ -132,7 +135,8 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
-	response, err := c.exchange(conn, address, r, detachContext)
+	body := &bodyReader{reader: r.Body}
+	response, err := c.exchange(conn, address, r, body, detachContext)
 	if err == nil {
 		return response, nil
 	}
@@ -141,16 +145,49 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return nil, &Failure{Sent: true, Err: fmt.Errorf("request to %s: %w", address, err)}
+	return nil, &Failure{Sent: true, Body: body.failure(), Err: fmt.Errorf("request to %s: %w", address, err)}
 }
 
-// exchange writes the request and reads the header of its response.
-func (c *Client) exchange(conn *conn, address string, r *Request, detachContext func() bool) (*Response, error) {
+// bodyReader reads the body of a request and remembers the error that ended it early.
+type bodyReader struct {
+	reader io.Reader
+	mu     sync.Mutex
+	err    error
+}
+
+// Read reads from the body.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.mu.Lock()
+		b.err = err
+		b.mu.Unlock()
+	}
+	return n, err
+}
+
+// failure returns the error of the reader other than io.EOF, or nil.
+func (b *bodyReader) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// exchange writes the request with the given body and reads the header of its
+// response. If the body ends early, it closes the connection, so that the server does
+// not wait for the rest.
+func (c *Client) exchange(conn *conn, address string, r *Request, body *bodyReader, detachContext func() bool) (*Response, error) {
 	written := make(chan error, 1)
 	if r.Body != nil && (r.Length < 0 || r.Length > concurrentWriteBytes) {
-		go func() { written <- write(conn, r) }()
+		go func() {
+			err := write(conn, r, body)
+			if body.failure() != nil {
+				_ = conn.Close()
+			}
+			written <- err
+		}()
 	} else {
-		if err := write(conn, r); err != nil {
+		if err := write(conn, r, body); err != nil {
 			// The server may have responded before it closed the connection.
 			if response, readErr := c.readHead(conn, r); readErr == nil { //nolint:bodyclose // closed with the Response
 				return c.newResponse(conn, address, response, detachContext, func() bool { return false }), nil
@@ -242,7 +279,7 @@
 	return limit
 }
 
-func write(conn *conn, r *Request) error {
+func write(conn *conn, r *Request, body io.Reader) error {
 	w := bufio.NewWriterSize(conn, bufferBytes)
 	_, _ = w.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
@@ -253,13 +290,13 @@
 			_, _ = w.WriteString("\r\n")
 		}
 	}
-	if err := writeBody(w, r); err != nil {
+	if err := writeBody(w, r, body); err != nil {
 		return err
 	}
 	return w.Flush()
 }
 
-func writeBody(w *bufio.Writer, r *Request) error {
+func writeBody(w *bufio.Writer, r *Request, body io.Reader) error {
 	switch {
 	case r.Body == nil:
 		if r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
@@ -269,14 +306,14 @@
 		return err
 	case r.Length >= 0:
 		_, _ = w.WriteString("Content-Length: " + strconv.FormatInt(r.Length, 10) + "\r\n\r\n")
-		n, err := io.Copy(w, r.Body)
+		n, err := io.Copy(w, body)
 		if err == nil && n != r.Length {
 			return io.ErrUnexpectedEOF
 		}
 		return err
 	}
 	_, _ = w.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	return writeChunks(w, r.Body)
+	return writeChunks(w, body)
 }
 
 func writeChunks(w *bufio.Writer, body io.Reader) error {
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -83,8 +84,11 @@
 		m.writeError(rw, q, errorResponse{status: http.StatusServiceUnavailable, reason: gage.ReasonStopping, retryAfter: retryAfterBase / 4})
 		return
 	}
-	q, refusal := m.readCallerRequest(now, r)
+	body := respondBeforeBody(rw, r)
+	defer func() { body.drain(m.options.Clock.Now(), rw) }()
+	q, refusal := m.readCallerRequest(now, rw, r)
 	if refusal != nil {
+		body.announceClose(rw)
 		m.writeError(rw, q, *refusal)
 		return
 	}
@@ -101,6 +105,7 @@
 	}
 	result := m.tryTargets(ctx, q)
 	defer result.close()
+	body.announceClose(rw)
 	m.recordOutcome(q, &result)
 	if result.reason != gage.ReasonNone {
 		m.returnToken(q)
@@ -121,7 +126,7 @@
 
 // readCallerRequest validates a request, finds its route, and takes a token from
 // the rate limit of its workspace. The second result is nil if the request is accepted.
-func (m *Mesh) readCallerRequest(now time.Time, r *http.Request) (*request, *errorResponse) {
+func (m *Mesh) readCallerRequest(now time.Time, rw http.ResponseWriter, r *http.Request) (*request, *errorResponse) {
 	names := m.options.HeaderNames
 	q := &request{startedAt: now, targetRequest: targetRequest{method: r.Method, requestURI: r.RequestURI, host: r.Host, callerService: m.options.Self.Service}}
 	q.id = r.Header.Get(names.RequestID)
@@ -146,6 +151,9 @@
 	}
 	q.route, q.targetRequest.route = route, route.Name
 	q.idempotent = route.Idempotent
+	if route.Refusal != "" {
+		return q, &errorResponse{status: http.StatusServiceUnavailable, reason: gage.ReasonRouteRefused, retryAfter: retryAfterBase, detail: route.Refusal}
+	}
 	if m.refusesNewRequests(now, route.Open) {
 		return q, &errorResponse{status: http.StatusServiceUnavailable, reason: gage.ReasonStopping, retryAfter: retryAfterBase / 4}
 	}
@@ -162,7 +170,7 @@
 	if limits.BodyBytes > 0 {
 		r.Body = http.MaxBytesReader(nil, r.Body, limits.BodyBytes)
 	}
-	if err := m.readBody(&q.targetRequest, r); err != nil {
+	if err := readBody(&q.targetRequest, rw, r); err != nil {
 		m.returnToken(q)
 		return q, bodyError(err)
 	}
@@ -187,6 +195,9 @@
 	if errors.As(err, &tooLarge) {
 		return &errorResponse{status: http.StatusRequestEntityTooLarge, reason: gage.ReasonTooLarge}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &errorResponse{status: http.StatusRequestTimeout, reason: gage.ReasonDeadline, detail: "the body did not arrive before the deadline"}
+	}
 	return &errorResponse{status: http.StatusBadRequest, reason: gage.ReasonBadRequest, detail: err.Error()}
 }
 
@@ -352,7 +363,10 @@
 // errorFor returns the response to a request that no target answered.
 func (m *Mesh) errorFor(q *request, r attemptResult) errorResponse {
 	response := errorResponse{reason: r.reason, detail: r.detail}
+	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(r.requestBodyErr, &tooLarge):
+		return *bodyError(r.requestBodyErr)
 	case r.reason == gage.ReasonDeadline && (q.mayHaveRun || r.outcome == gage.OutcomeUnknown):
 		response.status = http.StatusGatewayTimeout
 	case q.mayHaveRun || r.outcome != gage.OutcomeNotRun:
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -100,9 +100,12 @@
 		writePeerResponse(rw, notRun(gage.ReasonStopping, ""))
 		return
 	}
-	w, err := m.readForwarded(r)
+	body := respondBeforeBody(rw, r)
+	defer func() { body.drain(m.options.Clock.Now(), rw) }()
+	w, err := m.readForwarded(rw, r)
 	if err != nil {
 		m.log.warn("ForwardRefused", zap.Error(err))
+		body.announceClose(rw)
 		writePeerResponse(rw, notRun(gage.ReasonBadRequest, err.Error()))
 		return
 	}
@@ -110,11 +113,12 @@
 	defer cancel()
 	result := m.runAtLocalTarget(ctx, w)
 	defer result.close()
+	body.announceClose(rw)
 	m.log.forwardFailed(w, &result)
 	writePeerResponse(rw, result)
 }
 
-func (m *Mesh) readForwarded(r *http.Request) (*targetRequest, error) {
+func (m *Mesh) readForwarded(rw http.ResponseWriter, r *http.Request) (*targetRequest, error) {
 	now := m.options.Clock.Now()
 	h := r.Header
 	millisLeft, err := strconv.Atoi(h.Get(headerDeadline))
@@ -133,28 +137,7 @@
 		waitUntil:     now.Add(time.Duration(waitMillis) * time.Millisecond),
 	}
 	w.header = forwardableHeaders(h)
-	return w, m.readBody(w, r)
-}
-
-// readBody reads the body of a request into w.body. If the body is longer than
-// maxBufferedBytes, w.bodyRest reads the remainder.
-func (m *Mesh) readBody(w *targetRequest, r *http.Request) error {
-	w.length = r.ContentLength
-	if r.Body == nil || r.Body == http.NoBody {
-		w.length = 0
-		return nil
-	}
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
-	if err != nil {
-		return err
-	}
-	w.body = buffered
-	if len(buffered) > maxBufferedBytes {
-		w.bodyRest = r.Body
-		return nil
-	}
-	w.length = int64(len(buffered))
-	return nil
+	return w, readBody(w, rw, r)
 }
 
 // hopByHop holds the headers that apply to one connection only and are not
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -289,6 +289,11 @@
 	m.localTarget.applyConfig(now)
 	m.options.Logger.Info("ConfigurationInForce",
 		zap.Int64("Generation", config.Generation), zap.Int64("Revision", revision), zap.Int("Routes", len(config.Routes)))
+	for i := range config.Routes {
+		if r := &config.Routes[i]; r.Refusal != "" {
+			m.log.warn("RouteRefused", zap.Int64("Generation", config.Generation), zap.String("Route", r.Name), zap.String("Cause", r.Refusal))
+		}
+	}
 }
 
 func (m *Mesh) setRates(now time.Time, s *site.Site) {
--- a/gage/transport/mesh/telemetry.go
+++ b/gage/transport/mesh/telemetry.go
@@ -105,7 +105,7 @@
 		return
 	}
 	d.logger.Info("Answered", zap.String("RequestId", q.id), zap.String("Route", q.targetRequest.route), zap.String("Workspace", q.targetRequest.workspace),
-		zap.String("Target", q.expectedTarget), zap.Int("Status", r.status),
+		zap.String("Target", q.expectedTarget), zap.Int("Status", r.status), zap.Int64("BodyBytes", q.length),
 		zap.Int64("Generation", q.site.Config.Generation), zap.Int("Arrivals", q.arrivals), zap.Duration("Took", d.clock.Now().Sub(q.startedAt)))
 }
 
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -88,6 +88,8 @@
 	// rejectedByTarget is true if the request reached the target, which rejected
 	// it without running it.
 	rejectedByTarget bool
+	// requestBodyErr is the error of reading the caller's body, or nil.
+	requestBodyErr error
 	// overloadedService is the service whose overload made the request fail, or
 	// "".
 	overloadedService string
@@ -206,8 +208,12 @@
 	var failure *hop.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
 	reason := gage.ReasonBroken
+	var requestBodyErr error
+	if failure != nil {
+		requestBodyErr = failure.Body
+	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded), sent && errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), sent && errors.Is(err, os.ErrDeadlineExceeded), errors.Is(requestBodyErr, os.ErrDeadlineExceeded):
 		// The connection's own deadline, equal to that of ctx, may expire first. That
 		// also counts as the deadline.
 		reason = gage.ReasonDeadline
@@ -217,7 +223,9 @@
 		reason = gage.ReasonUnreached
 	}
 	if sent {
-		return outcomeUnknown(reason, err.Error())
+		r := outcomeUnknown(reason, err.Error())
+		r.requestBodyErr = requestBodyErr
+		return r
 	}
 	r := notRun(reason, err.Error())
 	r.unreached = reason == gage.ReasonUnreached
--- a/stand/plat/fleet_test.go
+++ b/stand/plat/fleet_test.go
@@ -189,6 +189,7 @@
 	modify(r)
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
+		f.t.Logf("request to node %d: %v", i, err)
 		return answer{}
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -47,6 +47,8 @@
 	// TargetRejects answers 503 with the header X-Not-Executed and does not run
 	// the request.
 	TargetRejects TargetFault = "Full"
+	// TargetRejectsEarly is TargetRejects without reading the request's body.
+	TargetRejectsEarly TargetFault = "FullEarly"
 	// TargetLosesAnswers runs the request and closes the connection without an
 	// answer.
 	TargetLosesAnswers TargetFault = "Lost"
@@ -163,6 +165,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if t.rejectsEarly() {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -175,7 +183,7 @@
 		return
 	case TargetLosesAnswers:
 		panic(http.ErrAbortHandler)
-	case TargetHealthy, TargetTruncates, TargetUnsigned, TargetFails:
+	case TargetHealthy, TargetRejectsEarly, TargetTruncates, TargetUnsigned, TargetFails:
 	}
 	if !t.simulateWork(r) {
 		return
@@ -183,6 +191,12 @@
 	t.writeAnswer(w, r, fault)
 }
 
+func (t *Target) rejectsEarly() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fault == TargetRejectsEarly
+}
+
 // recordArrival records the arrival of a request. It also records a run, unless the
 // fault is TargetRejects. It returns the fault to inject.
 func (t *Target) recordArrival(r *http.Request, bodyBytes int) TargetFault {
