Bound the header and the stale responses that the HTTP client reads

Cause: the client read the header of a response without a limit, and skipped a stale response of any length. A faulty target that sends bytes without end could fill the memory of its node until the deadline of the request.

Change: at most 64 KB are read until a header is complete, stale responses included; then the connection is closed and the outcome is unknown. Bodies were already streamed with bounded memory.

--- a/gage/transport/hop/hop.go
+++ b/gage/transport/hop/hop.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,6 +32,9 @@
 	// kernel closes the connection.
 	userTimeout = time.Second
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the bytes read until the header of a response is complete,
+	// and the body of a stale response.
+	maxHeadBytes = 64 << 10
 )
 
 // Options describe the connections to one kind of server.
@@ -117,7 +121,9 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	// received limits what reader reads.
+	received *io.LimitedReader
+	reader   *bufio.Reader
 	// expiresAt is the time from which the connection must not be reused.
 	expiresAt time.Time
 	reused    bool
@@ -232,13 +238,22 @@
 // request.
 var errOnlyStaleResponses = errors.New("the connection returned only responses to other requests")
 
+// errHeadTooLong is returned if a response has a header of more than maxHeadBytes.
+var errHeadTooLong = errors.New("the header of the response is too long")
+
 // readHead reads the status and header of the response to r. It skips interim
 // responses (1xx) and responses to earlier requests.
 func (c *Client) readHead(conn *conn, r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	// A faulty server may send a header, or a stale response, without end.
+	defer func() { conn.received.N = math.MaxInt64 }()
 	for range maxResponsesRead {
+		conn.received.N = maxHeadBytes
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
+			if conn.received.N == 0 {
+				err = errHeadTooLong
+			}
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
--- a/gage/transport/hop/hop_test.go
+++ b/gage/transport/hop/hop_test.go
@@ -272,3 +272,66 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// A faulty server sends bytes that are no response, or a response that does not end,
+// until the connection is closed. The client gives up long before its deadline, and
+// closes the connection.
+func TestResponsesWithoutEndAreCutOff(t *testing.T) {
+	const id = "r1"
+	cases := map[string]struct{ head, repeated string }{
+		"status line":        {"HTTP/1.1 200 ", "O"},
+		"header line":        {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"header lines":       {"HTTP/1.1 200 OK\r\n", "X-Line: 0123456789012345678901234567890123456789\r\n"},
+		"no response":        {"", "\x00\xff"},
+		"empty lines":        {"", "\r\n"},
+		"interim responses":  {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"stale response":     {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\n\r\n", "x"},
+		"stale chunked body": {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const maxSent, deadline = 16 << 20, 10 * time.Second
+			address, sent := startEndlessServer(t, c.head, c.repeated)
+			client := hop.New(hop.Options{DialTimeout: time.Second, IdleTimeout: time.Second, MaxIdle: 4, IDHeader: idHeader})
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			start := time.Now()
+			_, err := client.Do(ctx, start, address, &hop.Request{Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{idHeader: {id}}}) //nolint:bodyclose // there is no response
+			assert.Assert(t, err != nil)
+			assert.Assert(t, time.Since(start) < deadline/2, "%s", time.Since(start))
+			assert.Assert(t, <-sent < maxSent)
+		})
+	}
+}
+
+// startEndlessServer starts a server that answers with head and then with repeated
+// until the connection is closed. It then passes on the number of bytes sent.
+func startEndlessServer(t *testing.T, head, repeated string) (address string, sent chan int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	sent = make(chan int, 1)
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		total, _ := io.WriteString(c, head)
+		block := strings.Repeat(repeated, 1<<12)
+		for {
+			n, err := io.WriteString(c, block)
+			total += n
+			if err != nil {
+				sent <- total
+				return
+			}
+		}
+	}()
+	return listener.Addr().String(), sent
+}
--- a/gage/transport/hop/pool.go
+++ b/gage/transport/hop/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -39,7 +40,8 @@
 		return nil, err
 	}
 	c.Dialed()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, bufferBytes)}, nil
+	received := &io.LimitedReader{R: opened, N: math.MaxInt64}
+	return &conn{Conn: opened, received: received, reader: bufio.NewReaderSize(received, bufferBytes)}, nil
 }
 
 func (c *Client) pop(address string) *conn {
--- a/stand/plat/fleet_test.go
+++ b/stand/plat/fleet_test.go
@@ -164,6 +164,9 @@
 	return zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel)).Named(name)
 }
 
+// maxAnswerBytes is how much of the body of an answer the tests keep.
+const maxAnswerBytes = 1 << 20
+
 type answer struct {
 	status int
 	header http.Header
@@ -193,7 +196,10 @@
 		return answer{}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
 	if err != nil {
 		return answer{}
 	}
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -55,6 +56,10 @@
 	// TargetTruncates runs the request and closes the connection in the middle
 	// of the answer.
 	TargetTruncates TargetFault = "Broken"
+	// TargetEndlessBody runs the request and sends an answer whose body does not end.
+	TargetEndlessBody TargetFault = "EndlessBody"
+	// TargetEndlessHead runs the request and sends a header that does not end.
+	TargetEndlessHead TargetFault = "EndlessHead"
 	// TargetUnsigned runs the request and answers without a signature.
 	TargetUnsigned TargetFault = "Unsigned"
 	// TargetFails runs the request and answers 500.
@@ -183,6 +188,13 @@
 		return
 	case TargetLosesAnswers:
 		panic(http.ErrAbortHandler)
+	case TargetEndlessBody:
+		w.Header().Set("X-Response-Signature", "signed-"+t.ID)
+		writeWithoutEnd(w, "x")
+		return
+	case TargetEndlessHead:
+		hijackAndWriteWithoutEnd(w)
+		return
 	case TargetHealthy, TargetRejectsEarly, TargetTruncates, TargetUnsigned, TargetFails:
 	}
 	if !t.simulateWork(r) {
@@ -191,6 +203,26 @@
 	t.writeAnswer(w, r, fault)
 }
 
+// writeWithoutEnd writes text again and again until the connection is closed.
+func writeWithoutEnd(w io.Writer, text string) {
+	block := []byte(strings.Repeat(text, 1<<14))
+	for {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+func hijackAndWriteWithoutEnd(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+	writeWithoutEnd(c, "X-Line: 0123456789\r\n")
+}
+
 func (t *Target) rejectsEarly() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
