Issue the tokens of a workspace's rate on request, by up to three nodes

Cause: each node held a share of each workspace's rate in proportion to its own measured demand, with a half-life of 0.4 s. With 90 workspaces on 95 nodes most nodes measure no demand when a request comes, so that their share is 0.03/95 of the rate.

Change: issuers by rendezvous hashing, tokens asked for in datagrams (ration.Place, Issuer, Purse; coordination/broker). An issuer scales its rate by the fraction of the known nodes that it hears, so that both sides of a partition together issue the rate once. Tokens expire 0.5 s after they were asked for, by the monotonic clock and by the time of day. A refused caller is promised a token if one is due within a second. The brake now decides before a token is taken. Datagrams are protobuf messages with a format number, checked when decoded, instead of structs encoded by position; demand is no longer told. The age of the last confirmation of the keys, too, is taken by the clock that shows more, as a suspended machine's monotonic clock stands still.

--- a/gage/mesh.go
+++ b/gage/mesh.go
@@ -14,7 +14,7 @@
 	Phase   TargetPhase
 	// ColdRemaining is how long the target stays cold, counted from when the
 	// state was reported.
-	ColdRemaining time.Duration `msgpack:"Cold"`
+	ColdRemaining time.Duration
 	// ColdRate is the target's rate limit while it is cold, in requests per
 	// second.
 	ColdRate float64
@@ -28,7 +28,7 @@
 	// wait or were refused, in [0, 1].
 	Pressure float64
 	// MakesCalls is set if the target has recently made nested calls.
-	MakesCalls bool `msgpack:"Calls"`
+	MakesCalls bool
 }
 
 // NodeState is the state that one node reports to the others.
@@ -38,7 +38,7 @@
 	// Address is the host:port at which the node accepts forwarded requests.
 	Address string
 	// StartedAt is the Unix time in milliseconds at which the process started.
-	StartedAt int64 `msgpack:"Started"`
+	StartedAt int64
 	// Sequence increases with each state that the process reports.
 	Sequence uint64
 	// Age is how long ago the node reported the state. It is 0 in a state that
@@ -54,37 +54,34 @@
 	Revision int64
 	// ConfirmedAge is how long ago the documents were last confirmed to be
 	// current. It is negative if they never were.
-	ConfirmedAge time.Duration `msgpack:"Confirmed"`
+	ConfirmedAge time.Duration
 	// FleetSize is the number of nodes that this node found when it last listed
 	// the nodes in the store, or 0 if it has not listed them since it started.
-	FleetSize int `msgpack:"Fleet"`
-	// Demand holds, for each workspace, the rate at which callers send requests
-	// to this node, in requests per second. Refused requests count too.
-	Demand map[string]float64
+	FleetSize int
 	// Downstream lists, by route, the services further down the call chain
 	// whose overload recently made requests of the route fail.
-	Downstream map[string][]string `msgpack:"Leads"`
+	Downstream map[string][]string
 }
 
-// Digest is the message in which a node reports its own state. A node that
-// relays between zones also reports the states of other nodes.
-type Digest struct {
-	// States are the reported states. Demand and Downstream are left out for
-	// nodes that are not in the receiver's zone.
+// Packet is the content of one datagram between nodes.
+type Packet struct {
+	// States are the states of the sender and of nodes for which it relays. Downstream
+	// is left out for nodes that are not in the receiver's zone.
 	States []NodeState
-	// Zones are summaries of the demand in each zone.
-	Zones []ZoneDemand
+	// Zones are summaries of zones other than the receiver's.
+	Zones []ZoneSummary
+	// Request and Grant are nil in packets that have none.
+	Request *TokenRequest
+	Grant   *TokenGrant
 }
 
-// ZoneDemand is the total demand at the nodes of one zone.
-type ZoneDemand struct {
+// ZoneSummary is what the nodes of one zone have observed together.
+type ZoneSummary struct {
 	Zone string
-	// Age is how long ago the total was computed.
+	// Age is how long ago the summary was made.
 	Age time.Duration
-	// Demand holds the rate of each workspace, in requests per second.
-	Demand map[string]float64
 	// Downstream combines NodeState.Downstream of the zone's nodes.
-	Downstream map[string][]string `msgpack:"Leads"`
+	Downstream map[string][]string
 }
 
 // Poller is a Store whose changes are read by long polling.
--- a/gage/state/roster/pick.go
+++ b/gage/state/roster/pick.go
@@ -101,13 +101,7 @@
 	if p.VM == r.self {
 		return true
 	}
-	maxAge := unresponsiveAfter
-	if p.Zone != r.zone {
-		// No states arrive from another zone while its relays are being
-		// replaced.
-		maxAge = 2 * unresponsiveAfter
-	}
-	return now.Sub(p.UpdatedAt) < maxAge
+	return r.isResponsive(now, p)
 }
 
 // score returns the utilization of a target's concurrency limit, raised for
--- a/gage/state/roster/plan.go
+++ b/gage/state/roster/plan.go
@@ -20,11 +20,10 @@
 	// Relays lists the relays of the other zones. It is empty if the node itself is
 	// no relay.
 	Relays []string
-	// OwnZone holds the states and the demand of the node's own zone, to be sent to
-	// the relays of the other zones. OtherZones holds the states and the demand of
-	// the other zones, to be sent to the nodes of its own zone. Both are empty if the
-	// node is no relay.
-	OwnZone, OtherZones gage.Digest
+	// OwnZone holds the states and the summary of the node's own zone, to be sent to
+	// the relays of the other zones. OtherZones holds those of the other zones, to be
+	// sent to the nodes of its own zone. Both are empty if the node is no relay.
+	OwnZone, OtherZones gage.Packet
 }
 
 // BroadcastPlan returns the addresses and the states for a broadcast at now.
@@ -52,7 +51,7 @@
 	if !r.isRelay(peersByZone[r.zone]) {
 		return plan
 	}
-	ownDemand := gage.ZoneDemand{Zone: r.zone, Demand: make(map[string]float64), Downstream: make(map[string][]string)}
+	summary := gage.ZoneSummary{Zone: r.zone, Downstream: make(map[string][]string)}
 	for zone, list := range peersByZone {
 		if zone != r.zone {
 			for i := 0; i < min(RelaysPerZone, len(list)); i++ {
@@ -63,10 +62,9 @@
 			s := p.NodeState
 			s.Age = now.Sub(p.UpdatedAt)
 			if zone == r.zone {
-				addDemand(ownDemand.Demand, s.Demand)
-				mergeDependencies(ownDemand.Downstream, s.Downstream)
+				mergeDependencies(summary.Downstream, s.Downstream)
 			}
-			s.Demand, s.Downstream = nil, nil
+			s.Downstream = nil
 			if zone == r.zone {
 				plan.OwnZone.States = append(plan.OwnZone.States, s)
 			} else {
@@ -74,11 +72,11 @@
 			}
 		}
 	}
-	plan.OwnZone.Zones = []gage.ZoneDemand{ownDemand}
-	for _, z := range r.zoneDemands {
-		demand := z.ZoneDemand
-		demand.Age = now.Sub(z.UpdatedAt)
-		plan.OtherZones.Zones = append(plan.OtherZones.Zones, demand)
+	plan.OwnZone.Zones = []gage.ZoneSummary{summary}
+	for _, z := range r.zones {
+		other := z.ZoneSummary
+		other.Age = now.Sub(z.UpdatedAt)
+		plan.OtherZones.Zones = append(plan.OtherZones.Zones, other)
 	}
 	return plan
 }
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -16,6 +16,10 @@
 	// A node counts as unresponsive, and its target gets no new requests, once its
 	// last reported state is older than unresponsiveAfter.
 	unresponsiveAfter = 900 * time.Millisecond
+	// A node no longer counts as part of the fleet once its last reported state is
+	// older than forgetAfter. A node that is cut off from the others then no longer
+	// runs requests of workspaces, since it cannot confirm its configuration.
+	forgetAfter = 5 * time.Second
 	// A node is removed once its last reported state is older than removeAfter.
 	removeAfter = 2 * time.Minute
 )
@@ -49,8 +53,8 @@
 	random  *rand.Rand
 	// closedZones are the zones taken out of service.
 	closedZones map[string]bool
-	// zoneDemands holds the last reported demand of each other zone.
-	zoneDemands map[string]zoneDemand
+	// zones holds the last summary of each other zone.
+	zones map[string]zoneSummary
 	// callsOthers holds, for each service, whether its targets make calls to other
 	// services. It is set by Pressure.
 	callsOthers map[string]bool
@@ -59,15 +63,15 @@
 	seenServices map[string]bool
 }
 
-type zoneDemand struct {
-	gage.ZoneDemand
+type zoneSummary struct {
+	gage.ZoneSummary
 	UpdatedAt time.Time
 }
 
 // New returns the roster of the node self in zone. Random draws the candidates
 // for a request.
 func New(self, zone string, random *rand.Rand) *Roster {
-	return &Roster{self: self, zone: zone, random: random, peers: make(map[string]*Peer), closedZones: make(map[string]bool), zoneDemands: make(map[string]zoneDemand), seenServices: make(map[string]bool)}
+	return &Roster{self: self, zone: zone, random: random, peers: make(map[string]*Peer), closedZones: make(map[string]bool), zones: make(map[string]zoneSummary), seenServices: make(map[string]bool)}
 }
 
 // AddAddress adds a node of which only the address is known. The address of a
@@ -139,74 +143,101 @@
 	}
 }
 
-// Demand returns the total demand on the other nodes by workspace, and the number of
-// nodes including this one. Reports of an age of 2*unresponsiveAfter or more do not
-// count. isolated is true if less than half of the known reports of other nodes are
-// more recent than that.
-func (r *Roster) Demand(now time.Time) (others map[string]float64, nodes int, isolated bool) {
+// Fleet is how much of the fleet a node knows at one time.
+type Fleet struct {
+	// Members are the VMs of the responsive nodes that are not leaving, including
+	// this node.
+	Members []string
+	// Known is the number of nodes, at least that of Members: those that have reported
+	// their state in the last forgetAfter, and those that were listed in that time.
+	// Leaving nodes do not count.
+	Known int
+}
+
+// Fleet returns the nodes of the fleet. Leaving is true if this node is leaving.
+func (r *Roster) Fleet(now time.Time, leaving bool) Fleet {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	others = make(map[string]float64)
-	responsive, known := 0, 0
-	for _, p := range r.peers {
-		if p.VM == r.self || p.UpdatedAt.IsZero() {
-			continue
-		}
-		known++
-		if now.Sub(p.UpdatedAt) >= 2*unresponsiveAfter {
+	var f Fleet
+	if !leaving {
+		f = Fleet{Members: []string{r.self}, Known: 1}
+	}
+	for _, p := range r.ordered {
+		if p.VM == r.self || p.Leaving {
 			continue
 		}
-		responsive++
-		if p.Zone == r.zone {
-			addDemand(others, p.Demand)
+		if now.Sub(p.lastContact()) < forgetAfter {
+			f.Known++
 		}
-	}
-	for _, z := range r.zoneDemands {
-		if now.Sub(z.UpdatedAt) < 2*unresponsiveAfter {
-			addDemand(others, z.Demand)
+		if r.isResponsive(now, p) {
+			f.Members = append(f.Members, p.VM)
 		}
 	}
-	return others, responsive + 1, known > 0 && 2*responsive < known
+	return f
 }
 
-// LargestFleet returns the largest number of nodes that any node reports to have
-// found in the store.
-func (r *Roster) LargestFleet() int {
+// ResponsiveNodes returns the number of responsive nodes, including this one.
+func (r *Roster) ResponsiveNodes(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fleet := 0
+	n := 1
 	for _, p := range r.peers {
-		fleet = max(fleet, p.FleetSize)
+		if p.VM != r.self && r.isResponsive(now, p) {
+			n++
+		}
 	}
-	return fleet
+	return n
+}
+
+// isResponsive reports whether the last state of a peer is recent. States from other
+// zones may be older, since none arrive while the relays of a zone are replaced.
+func (r *Roster) isResponsive(now time.Time, p *Peer) bool {
+	maxAge := unresponsiveAfter
+	if p.Zone != r.zone {
+		maxAge = 2 * unresponsiveAfter
+	}
+	return !p.UpdatedAt.IsZero() && now.Sub(p.UpdatedAt) < maxAge
+}
+
+// lastContact returns when the peer last reported its state or, if it never has, when
+// it was added.
+func (p *Peer) lastContact() time.Time {
+	if p.UpdatedAt.IsZero() {
+		return p.avoidUntil
+	}
+	return p.UpdatedAt
 }
 
-// KnownNodes returns the number of known nodes, this one included: those that
-// have reported their state and those of which only the address is known.
-func (r *Roster) KnownNodes() int {
+// Address returns the address of the node on a VM, or "" if it is not known.
+func (r *Roster) Address(vm string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := len(r.peers)
-	if r.peers[r.self] == nil {
-		known++
+	if p := r.peers[vm]; p != nil {
+		return p.Address
 	}
-	return known
+	return ""
 }
 
-func addDemand(to, from map[string]float64) {
-	for workspace, demand := range from {
-		to[workspace] += demand
+// LargestFleet returns the largest number of nodes that any node reports to have
+// found in the store.
+func (r *Roster) LargestFleet() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fleet := 0
+	for _, p := range r.peers {
+		fleet = max(fleet, p.FleetSize)
 	}
+	return fleet
 }
 
-// UpdateZone records the total demand of the nodes of another zone, unless it
-// is older than the known one.
-func (r *Roster) UpdateZone(now time.Time, z gage.ZoneDemand) {
+// UpdateZone records the summary of another zone, unless it is older than the known
+// one.
+func (r *Roster) UpdateZone(now time.Time, z gage.ZoneSummary) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	updatedAt := now.Add(-z.Age)
-	if z.Zone != r.zone && updatedAt.After(r.zoneDemands[z.Zone].UpdatedAt) {
-		r.zoneDemands[z.Zone] = zoneDemand{ZoneDemand: z, UpdatedAt: updatedAt}
+	if z.Zone != r.zone && updatedAt.After(r.zones[z.Zone].UpdatedAt) {
+		r.zones[z.Zone] = zoneSummary{ZoneSummary: z, UpdatedAt: updatedAt}
 	}
 }
 
@@ -241,7 +272,7 @@
 			pressure[p.Target.Service] += p.Target.Pressure
 		}
 	}
-	for _, z := range r.zoneDemands {
+	for _, z := range r.zones {
 		if now.Sub(z.UpdatedAt) < 2*unresponsiveAfter {
 			mergeDependencies(dependencies, z.Downstream)
 		}
@@ -287,11 +318,7 @@
 		if vm == r.self {
 			continue
 		}
-		lastContact := p.UpdatedAt
-		if lastContact.IsZero() {
-			lastContact = p.avoidUntil
-		}
-		if now.Sub(lastContact) > removeAfter {
+		if now.Sub(p.lastContact()) > removeAfter {
 			r.remove(p)
 			continue
 		}
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -52,7 +52,10 @@
 	site      *site.Site
 	route     *gage.Route
 	workspace *gage.Workspace
-	startedAt time.Time
+	// tokenExpiresAt is when the token taken for the request expires, zero if none was
+	// taken.
+	tokenExpiresAt time.Time
+	startedAt      time.Time
 	// isCallerRetry is true if the caller was probably refused before and
 	// retries.
 	isCallerRetry    bool
@@ -86,7 +89,10 @@
 	}
 	body := respondBeforeBody(rw, r)
 	defer func() { body.drain(m.options.Clock.Now(), rw) }()
-	q, refusal := m.readCallerRequest(now, rw, r)
+	q, refusal := m.readCallerRequest(now, r)
+	if refusal == nil {
+		refusal = m.admit(now, q, rw, r)
+	}
 	if refusal != nil {
 		body.announceClose(rw)
 		m.writeError(rw, q, *refusal)
@@ -94,15 +100,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	m.retryBudget.Earn(q.service, m.retryRatio(q.service))
 	if q.isNested {
 		m.calls.recordCall(now)
 	}
-	if !q.isNested && !m.brake.Admit(q.route.Name, q.isCallerRetry, rand.Float64()) {
-		m.returnToken(q)
-		m.writeError(rw, q, m.errorFor(q, notRun(gage.ReasonThrottled, "a service further down the call chain is overloaded")))
-		return
-	}
 	result := m.tryTargets(ctx, q)
 	defer result.close()
 	body.announceClose(rw)
@@ -124,9 +124,9 @@
 	writeResponse(rw, &result)
 }
 
-// readCallerRequest validates a request, finds its route, and takes a token from
-// the rate limit of its workspace. The second result is nil if the request is accepted.
-func (m *Mesh) readCallerRequest(now time.Time, rw http.ResponseWriter, r *http.Request) (*request, *errorResponse) {
+// readCallerRequest validates the header of a request and finds its route and
+// workspace. The second result is nil if the request is valid.
+func (m *Mesh) readCallerRequest(now time.Time, r *http.Request) (*request, *errorResponse) {
 	names := m.options.HeaderNames
 	q := &request{startedAt: now, targetRequest: targetRequest{method: r.Method, requestURI: r.RequestURI, host: r.Host, callerService: m.options.Self.Service}}
 	q.id = r.Header.Get(names.RequestID)
@@ -160,22 +160,37 @@
 	if refusal := m.readDeadline(now, q, r.Header.Get(names.DeadlineMillis)); refusal != nil {
 		return q, refusal
 	}
-	if refusal := m.admitWorkspace(now, q, r.Header.Get(names.Key)); refusal != nil {
+	if refusal := m.findWorkspace(now, q, r.Header.Get(names.Key)); refusal != nil {
 		return q, refusal
 	}
 	q.header = forwardableHeaders(r.Header)
 	for _, name := range []string{names.RequestID, names.DeadlineMillis, names.Key, names.Workspace, names.ExpectedTarget, names.CallerService} {
 		delete(q.header, name)
 	}
-	if limits.BodyBytes > 0 {
-		r.Body = http.MaxBytesReader(nil, r.Body, limits.BodyBytes)
+	q.service = site.PickService(route, rand.Float64())
+	return q, nil
+}
+
+// admit decides whether a valid request is sent to a target: it asks the brake, takes a
+// token of the workspace's rate, and reads the body or its beginning. It returns nil if
+// the request is admitted.
+func (m *Mesh) admit(now time.Time, q *request, rw http.ResponseWriter, r *http.Request) *errorResponse {
+	m.retryBudget.Earn(q.service, m.retryRatio(q.service))
+	if !q.isNested && !m.brake.Admit(q.route.Name, q.isCallerRetry, rand.Float64()) {
+		refusal := m.errorFor(q, notRun(gage.ReasonThrottled, "a service further down the call chain is overloaded"))
+		return &refusal
+	}
+	if refusal := m.takeToken(r.Context(), now, q); refusal != nil {
+		return refusal
+	}
+	if limit := q.site.Config.Limits.BodyBytes; limit > 0 {
+		r.Body = http.MaxBytesReader(nil, r.Body, limit)
 	}
 	if err := readBody(&q.targetRequest, rw, r); err != nil {
 		m.returnToken(q)
-		return q, bodyError(err)
+		return bodyError(err)
 	}
-	q.service = site.PickService(route, rand.Float64())
-	return q, nil
+	return nil
 }
 
 // headerBytes returns the size of the request line and header, as sent.
@@ -235,9 +250,9 @@
 	return nil
 }
 
-// admitWorkspace finds the workspace of a request by its API key and takes a
-// token from the workspace's rate limit. It returns nil if the request is admitted.
-func (m *Mesh) admitWorkspace(now time.Time, q *request, key string) *errorResponse {
+// findWorkspace finds the workspace of a request by its API key. It returns nil if the
+// route needs no key, or if the key is valid and the configuration is current.
+func (m *Mesh) findWorkspace(now time.Time, q *request, key string) *errorResponse {
 	if q.route.Open || len(q.site.Config.Workspaces) == 0 {
 		return nil
 	}
@@ -248,18 +263,12 @@
 	q.targetRequest.workspace = w.Name
 	bounds := m.bounds.Load()
 	_, confirmed := m.mirror.Latest()
-	if bounds.RevokeEverywhere && now.Sub(confirmed) > time.Duration(maxUnconfirmedShare*float64(bounds.RevocationDelay)) {
+	if age := gage.Elapsed(now, confirmed); bounds.RevokeEverywhere && age > time.Duration(maxUnconfirmedShare*float64(bounds.RevocationDelay)) {
 		return &errorResponse{
 			status: http.StatusServiceUnavailable, reason: gage.ReasonNotConfirmed, retryAfter: retryAfterBase / 2,
-			detail: "the configuration was last confirmed " + now.Sub(confirmed).String() + " ago",
+			detail: "the configuration was last confirmed " + age.String() + " ago",
 		}
 	}
-	if ok, wait := m.ration.Take(now, w.Name, q.isCallerRetry); !ok {
-		return &errorResponse{status: http.StatusTooManyRequests, reason: gage.ReasonOverRate, retryAfter: max(wait, time.Duration(overRateRetryAfterShare*float64(q.latencyObjective)))}
-	}
-	if m.ration.ConsumeGrowth() {
-		m.broadcastSoon()
-	}
 	q.workspace = w
 	if w.HasRank {
 		q.rank = w.Rank
@@ -267,11 +276,29 @@
 	return nil
 }
 
+// takeToken takes a token of the rate of the request's workspace. It returns nil if it
+// has taken one, or if the request needs none.
+func (m *Mesh) takeToken(ctx context.Context, now time.Time, q *request) *errorResponse {
+	if q.workspace == nil {
+		return nil
+	}
+	result := m.broker.Acquire(ctx, now, q.waitUntil, q.workspace.Name, q.isCallerRetry)
+	q.tokenExpiresAt = result.ExpiresAt
+	switch result.Reason {
+	case gage.ReasonNone:
+		return nil
+	case gage.ReasonOverRate:
+		return &errorResponse{status: http.StatusTooManyRequests, reason: result.Reason, retryAfter: max(result.Wait, time.Duration(overRateRetryAfterShare*float64(q.latencyObjective)))}
+	default:
+		return &errorResponse{status: http.StatusServiceUnavailable, reason: result.Reason, retryAfter: retryAfterBase / 4}
+	}
+}
+
 // returnToken returns the request's token to the rate limit of its workspace if the
 // request has certainly not run.
 func (m *Mesh) returnToken(q *request) {
-	if q.workspace != nil && !q.mayHaveRun {
-		m.ration.Return(m.options.Clock.Now(), q.workspace.Name)
+	if !q.tokenExpiresAt.IsZero() && !q.mayHaveRun {
+		m.broker.PutBack(m.options.Clock.Now(), q.workspace.Name, q.tokenExpiresAt)
 	}
 }
 
--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -12,13 +12,11 @@
 
 	"github.com/greengagewind/greengagewind/gage"
 	"github.com/greengagewind/greengagewind/gage/coordination/mirror"
-	"github.com/greengagewind/greengagewind/gage/state/ration"
-	"github.com/greengagewind/greengagewind/gage/transport/digest"
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
 )
 
 const (
-	// broadcastInterval is the time between isRegular broadcasts of this node's
+	// broadcastInterval is the time between regular broadcasts of this node's
 	// state.
 	broadcastInterval = 200 * time.Millisecond
 	// minBroadcastInterval is the minimum time between two broadcasts.
@@ -57,7 +55,6 @@
 		Revision:     s.Revision,
 		ConfirmedAge: age,
 		FleetSize:    int(m.listedNodeCount.Load()),
-		Demand:       m.ration.Demand(now),
 		Downstream:   m.brake.Dependencies(now),
 	}
 }
@@ -95,40 +92,30 @@
 // node or by one whose state it has received.
 const maxFleetNodes = 4096
 
-// maxNodes returns an upper bound of the number of nodes in the fleet.
-func (m *Mesh) maxNodes() int {
-	knownNodes := m.roster.KnownNodes()
-	if m.listedNodeCount.Load() > 0 {
-		return knownNodes
-	}
-	if fleetSize := m.roster.LargestFleet(); fleetSize > 0 {
-		return max(knownNodes, fleetSize)
-	}
-	return max(knownNodes, maxFleetNodes)
-}
-
-// visibility returns whether this node receives the demand of most of the other
-// nodes (Whole), has stopped receiving it (Isolated), or has not listed the nodes in
-// the store yet (Unlisted).
-func (m *Mesh) visibility(isolated bool) ration.Visibility {
-	switch {
-	case m.listedNodeCount.Load() == 0:
-		return ration.VisibilityUnlisted
-	case isolated:
-		return ration.VisibilityIsolated
+// setFleet passes the nodes of the fleet to the broker. A node that has not listed
+// the nodes in the store may not know most of them.
+func (m *Mesh) setFleet(now time.Time) {
+	fleet := m.roster.Fleet(now, m.leaving.Load())
+	known := fleet.Known
+	if m.listedNodeCount.Load() == 0 {
+		listed := m.roster.LargestFleet()
+		if listed == 0 {
+			listed = maxFleetNodes
+		}
+		known = max(known, listed)
 	}
-	return ration.VisibilityWhole
+	live := float64(len(fleet.Members)) / float64(max(known, len(fleet.Members), 1))
+	m.broker.SetFleet(now, fleet.Members, live)
 }
 
-// broadcast updates the rate shares, the retry burst and the brake, which depend
+// broadcast updates the broker, the retry burst and the brake, which depend
 // on the states of all nodes, and sends this node's state. A relay also sends the
 // digest of its own zone to other zones. If isRegular is true, it also sends the
 // digest of the other zones to the nodes of its own zone. Irregular broadcasts omit
 // this digest, since it is most of the traffic in a large fleet.
 func (m *Mesh) broadcast(now time.Time, round int, isRegular bool) {
-	others, nodeCount, isolated := m.roster.Demand(now)
-	m.ration.Divide(now, others, m.maxNodes(), m.visibility(isolated))
-	m.setRetryBurst(nodeCount)
+	m.setFleet(now)
+	m.setRetryBurst(m.roster.ResponsiveNodes(now))
 	state := m.state(now)
 	m.roster.Update(now, state)
 	m.adjustBrake(now)
@@ -137,54 +124,70 @@
 	if round%unresponsiveEvery == 0 {
 		recipients = append(recipients, plan.Unresponsive...)
 	}
-	m.sendDigest(gage.Digest{States: []gage.NodeState{state}}, recipients)
+	m.sendStates(gage.Packet{States: []gage.NodeState{state}}, recipients)
 	if len(plan.OwnZone.States) > 0 {
-		m.sendDigest(plan.OwnZone, plan.Relays)
+		m.sendStates(plan.OwnZone, plan.Relays)
 	}
 	if isRegular && len(plan.OtherZones.States) > 0 {
-		m.sendDigest(plan.OtherZones, plan.SameZone)
+		m.sendStates(plan.OtherZones, plan.SameZone)
 	}
 }
 
-// sendDigest sends a digest to the nodes at addresses, split into datagrams.
-func (m *Mesh) sendDigest(d gage.Digest, addresses []string) {
-	for len(addresses) > 0 && len(d.States) > 0 {
-		part := d
-		part.States = d.States[:min(maxStatesPerDatagram, len(d.States))]
-		d = gage.Digest{States: d.States[len(part.States):]}
-		datagram, err := digest.Encode(part)
-		if err != nil {
-			m.options.Logger.Error("DigestNotEncoded", zap.Error(err))
-			return
-		}
-		for _, address := range addresses {
-			if err := m.socket.Send(address, datagram); err != nil {
-				m.stats.digestFailures.Inc()
-			}
-		}
+// sendStates sends the states of a packet to the nodes at addresses, split into
+// datagrams.
+func (m *Mesh) sendStates(p gage.Packet, addresses []string) {
+	for len(addresses) > 0 && len(p.States) > 0 {
+		part := p
+		part.States = p.States[:min(maxStatesPerDatagram, len(p.States))]
+		p = gage.Packet{States: p.States[len(part.States):]}
+		m.sendPacket(part, addresses...)
 	}
 }
 
-// receiveDigests applies the digests of the other nodes until ctx ends.
-func (m *Mesh) receiveDigests(ctx context.Context) {
-	m.socket.Receive(ctx, func(d gage.Digest) { m.handleDigest(ctx, d) }, func(err error) {
-		m.stats.digestFailures.Inc()
-		m.log.warn("DigestNotRead", zap.Error(err))
+// sendPacket sends a packet to the nodes at addresses.
+func (m *Mesh) sendPacket(p gage.Packet, addresses ...string) {
+	failures, err := m.socket.Send(p, addresses...)
+	if err != nil {
+		m.stats.packetFailures.Add(failures)
+		m.log.warn("PacketNotSent", zap.Int("Nodes", failures), zap.Error(err))
+	}
+}
+
+// receivePackets handles the packets of the other nodes until ctx ends.
+func (m *Mesh) receivePackets(ctx context.Context) {
+	m.socket.Receive(ctx, func(p gage.Packet, sender string) { m.handlePacket(ctx, p, sender) }, func(err error) {
+		m.stats.packetFailures.Inc()
+		m.log.warn("PacketNotRead", zap.Error(err))
 	})
 }
 
-func (m *Mesh) handleDigest(ctx context.Context, d gage.Digest) {
+func (m *Mesh) handlePacket(ctx context.Context, p gage.Packet, sender string) {
 	now := m.options.Clock.Now()
-	for _, z := range d.Zones {
+	if p.Request != nil {
+		grant := m.broker.HandleRequest(now, *p.Request)
+		m.stats.tokenRequest(grant.Status)
+		m.sendPacket(gage.Packet{Grant: &grant}, sender)
+	}
+	if p.Grant != nil {
+		m.broker.HandleGrant(*p.Grant)
+	}
+	for _, z := range p.Zones {
 		m.roster.UpdateZone(now, z)
 	}
-	for _, s := range d.States {
+	for _, s := range p.States {
 		if s.VM != m.options.Self.VM {
 			m.handleState(ctx, now, s)
 		}
 	}
 }
 
+// requestTokens sends a request for tokens to the node on a VM.
+func (m *Mesh) requestTokens(vm string, r gage.TokenRequest) {
+	if address := m.roster.Address(vm); address != "" {
+		m.sendPacket(gage.Packet{Request: &r}, address)
+	}
+}
+
 func (m *Mesh) handleState(ctx context.Context, now time.Time, s gage.NodeState) {
 	isNew, reconnected := m.roster.Update(now, s)
 	if !isNew {
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -16,14 +16,15 @@
 	"go.uber.org/zap"
 
 	"github.com/greengagewind/greengagewind/gage"
+	"github.com/greengagewind/greengagewind/gage/coordination/broker"
 	"github.com/greengagewind/greengagewind/gage/coordination/mirror"
 	"github.com/greengagewind/greengagewind/gage/state/brake"
 	"github.com/greengagewind/greengagewind/gage/state/ration"
 	"github.com/greengagewind/greengagewind/gage/state/roster"
 	"github.com/greengagewind/greengagewind/gage/state/site"
 	"github.com/greengagewind/greengagewind/gage/state/spend"
-	"github.com/greengagewind/greengagewind/gage/transport/digest"
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
+	"github.com/greengagewind/greengagewind/gage/transport/packet"
 )
 
 // HeaderNames are the names of the HTTP headers that a deployment uses, in
@@ -72,6 +73,9 @@
 	// RetrySlack is how many retries beyond those that RetryRatio allows the fleet
 	// may send to a service within a time window.
 	RetrySlack float64
+	// QuotaSlack is how many requests of a workspace beyond its rate and burst the
+	// fleet may run within a time window.
+	QuotaSlack float64
 	// ColdOverage and ColdSlack bound the requests that a cold target receives in
 	// a second: at most its cold rate times ColdOverage, plus ColdSlack.
 	ColdOverage float64
@@ -120,7 +124,7 @@
 	startedAt   int64
 	site        atomic.Pointer[site.Site]
 	roster      *roster.Roster
-	ration      *ration.Table
+	broker      *broker.Broker
 	retryBudget *spend.Budget
 	mirror      *mirror.Mirror
 	brake       *brake.Brake
@@ -130,7 +134,7 @@
 	calls           callTracker
 	callerRetries   retryDetector
 	localTarget     *localTarget
-	socket          *digest.Socket
+	socket          *packet.Socket
 	peerClient      *hop.Client
 	log             *requestLog
 	stats           *stats
@@ -159,7 +163,7 @@
 // New returns a node and opens its UDP socket for node states. It fails if the
 // socket cannot be opened.
 func New(options Options) (*Mesh, error) {
-	socket, err := digest.Listen(options.Self.PeerAddress)
+	socket, err := packet.Listen(options.Self.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +171,6 @@
 		options:         options,
 		startedAt:       options.Clock.Now().UnixMilli(),
 		roster:          roster.New(options.Self.VM, options.Self.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		ration:          ration.New(),
 		retryBudget:     spend.New(1),
 		brake:           brake.New(),
 		throttledRoutes: make(map[string]bool),
@@ -176,6 +179,7 @@
 		stats:           newStats(options.Metrics),
 		broadcastNow:    make(chan struct{}, 1),
 	}
+	m.broker = broker.New(options.Clock.Now(), broker.Options{Self: options.Self.VM, Clock: options.Clock, Send: m.requestTokens, Random: rand.Uint64})
 	m.peerClient = hop.New(hop.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdle: peerMaxIdleConns})
 	m.bounds.Store(&options.Bounds)
 	m.localTarget = newLocalTarget(m)
@@ -192,13 +196,18 @@
 }
 
 // SetBounds replaces the bounds. It may be called while the node runs.
-func (m *Mesh) SetBounds(b Bounds) { m.bounds.Store(&b) }
+func (m *Mesh) SetBounds(b Bounds) {
+	m.bounds.Store(&b)
+	if s := m.site.Load(); s != nil {
+		m.setRates(s)
+	}
+}
 
 // Run runs the background loops of the node and returns when ctx has ended and
 // all of them have stopped.
 func (m *Mesh) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	loops := []func(context.Context){m.mirror.Run, m.broadcastStates, m.receiveDigests, m.registerWithRetry, m.localTarget.monitor, m.prune}
+	loops := []func(context.Context){m.mirror.Run, m.broadcastStates, m.receivePackets, m.registerWithRetry, m.localTarget.monitor, m.prune}
 	for _, loop := range loops {
 		running.Add(1)
 		go func() {
@@ -285,7 +294,7 @@
 		return
 	}
 	m.site.Store(next)
-	m.setRates(now, next)
+	m.setRates(next)
 	m.localTarget.applyConfig(now)
 	m.options.Logger.Info("ConfigurationInForce",
 		zap.Int64("Generation", config.Generation), zap.Int64("Revision", revision), zap.Int("Routes", len(config.Routes)))
@@ -296,18 +305,23 @@
 	}
 }
 
-func (m *Mesh) setRates(now time.Time, s *site.Site) {
+// setRates passes the limits of the workspaces to the broker. The burst includes the
+// part of the deployment's tolerance that quotaSlackShare gives.
+func (m *Mesh) setRates(s *site.Site) {
+	limits := make(map[string]ration.Limits, len(s.Config.Workspaces))
 	for _, w := range s.Config.Workspaces {
 		if !w.Unlimited {
-			m.ration.SetLimits(now, w.Name, w.Rate, w.Burst, m.maxNodes())
+			limits[w.Name] = ration.Limits{Rate: w.Rate, Burst: w.Burst + quotaSlackShare*m.bounds.Load().QuotaSlack}
 		}
 	}
-	m.ration.RemoveWorkspaces(func(name string) bool {
-		w := s.WorkspaceByName(name)
-		return w != nil && !w.Unlimited
-	})
+	m.broker.SetLimits(limits)
 }
 
+// quotaSlackShare is the share of Bounds.QuotaSlack that is added to the burst of
+// each workspace. The rest covers the times in which the nodes disagree on who issues
+// tokens.
+const quotaSlackShare = 0.4
+
 // setRetryBurst sets this node's part of the retries that the fleet may send at
 // once.
 func (m *Mesh) setRetryBurst(nodeCount int) {
--- a/gage/transport/mesh/telemetry.go
+++ b/gage/transport/mesh/telemetry.go
@@ -136,7 +136,7 @@
 // stats are the node's counters.
 type stats struct {
 	set            *metrics.Set
-	digestFailures *metrics.Counter
+	packetFailures *metrics.Counter
 	targetDials    *metrics.Counter
 	identityChecks *metrics.Counter
 	latency        *metrics.Histogram
@@ -146,7 +146,7 @@
 func newStats(set *metrics.Set) *stats {
 	return &stats{
 		set:            set,
-		digestFailures: set.NewCounter("gage_states_failed_total"),
+		packetFailures: set.NewCounter("gage_states_failed_total"),
 		targetDials:    set.NewCounter("gage_target_connections_total"),
 		identityChecks: set.NewCounter("gage_target_checks_total"),
 		latency:        set.NewHistogram("gage_request_seconds"),
@@ -163,3 +163,8 @@
 	s.set.GetOrCreateCounter(`gage_refusals_total{Status="` + strconv.Itoa(status) + `",Reason="` + string(reason) + `"}`).Inc()
 	s.latency.Update(elapsed.Seconds())
 }
+
+// tokenRequest counts the answer to a request of another node for tokens.
+func (s *stats) tokenRequest(status gage.TokenStatus) {
+	s.set.GetOrCreateCounter(`gage_token_requests_total{Status="` + string(status) + `"}`).Inc()
+}
