Relays send the load of unchanged states only, to one relay of each other zone

Cause: two relays a zone sent the whole state of each node of their zone to both relays of each other zone five times a second, changed or not, and each relay passed the states of all other zones on to its whole zone. That was most of the bytes between zones.

Ruled out: sending less often, which would delay drains and cold starts; deltas without a fingerprint, which a receiver that missed a state would apply to the wrong one.

Change: a relay sends a state in full when its fingerprint has changed, twice in case a datagram is lost, and every two seconds; otherwise a 4-byte fingerprint with sequence, age and load. Its own state, which tells the revision of the documents, is always full. When a node is heard again, all states are sent in full. The two relays of a zone send to different relays of the others.

Tests (gage/state/roster): TestRelaySendsOnlyTheLoadOfUnchangedStates, TestChangedStatesReachTheOtherZoneAtOnce, TestColdTimeRunsDownBetweenFullStates, TestLostPacketDelaysNewsBriefly, TestNewNodeLearnsAllStates, TestForgedLoadsChangeNothing.

--- a/gage/mesh.go
+++ b/gage/mesh.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
 	"time"
 )
 
@@ -68,6 +70,8 @@
 	// States are the states of the sender and of nodes for which it relays. Downstream
 	// is left out for nodes that are not in the receiver's zone.
 	States []NodeState
+	// Loads update states that the receiver has.
+	Loads []LoadUpdate
 	// Zones are summaries of zones other than the receiver's.
 	Zones []ZoneSummary
 	// Request and Grant are nil in packets that have none.
@@ -75,6 +79,29 @@
 	Grant   *TokenGrant
 }
 
+// LoadUpdate is a short form of a NodeState of which only the load has changed.
+type LoadUpdate struct {
+	// Fingerprint identifies the state: it is NodeState.Fingerprint.
+	Fingerprint uint32
+	// The other fields replace those of the state and its target.
+	Sequence uint64
+	Age      time.Duration
+	InFlight int
+	Queued   int
+	Pressure float64
+}
+
+// Fingerprint returns a hash of the fields of a state that other nodes use, except
+// those that change with every report: the fields of LoadUpdate, the remaining cold
+// time, and what the node knows of the operators' documents.
+func (s *NodeState) Fingerprint() uint32 {
+	h := fnv.New32a()
+	t := &s.Target
+	_, _ = fmt.Fprintf(h, "%q %q %q %d %t %d %q %q %q %t %g %d %t", s.VM, s.Zone, s.Address, s.StartedAt, s.Leaving, s.FleetSize,
+		t.ID, t.Service, t.Phase, t.ColdRemaining > 0, t.ColdRate, t.Limit, t.MakesCalls)
+	return h.Sum32()
+}
+
 // ZoneSummary is what the nodes of one zone have observed together.
 type ZoneSummary struct {
 	Zone string
--- a/gage/protocol/dgram/packet.go
+++ b/gage/protocol/dgram/packet.go
@@ -37,6 +37,12 @@
 	for i := range p.States {
 		m.States = append(m.States, encodeState(&p.States[i]))
 	}
+	for _, l := range p.Loads {
+		m.Loads = append(m.Loads, &Load{
+			Fingerprint: l.Fingerprint, Sequence: l.Sequence, Age: millis(l.Age),
+			InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Pressure: encodePressure(l.Pressure),
+		})
+	}
 	for _, z := range p.Zones {
 		m.Zones = append(m.Zones, &Zone{Name: z.Zone, Age: millis(z.Age), Downstream: encodeDependencies(z.Downstream)})
 	}
@@ -97,6 +103,12 @@
 	for _, s := range m.GetStates() {
 		p.States = append(p.States, d.state(s))
 	}
+	for _, l := range m.GetLoads() {
+		p.Loads = append(p.Loads, gage.LoadUpdate{
+			Fingerprint: l.GetFingerprint(), Sequence: l.GetSequence(), Age: d.age(l.GetAge()),
+			InFlight: d.count(l.GetInFlight()), Queued: d.count(l.GetQueued()), Pressure: d.pressure(l.GetPressure()),
+		})
+	}
 	for _, z := range m.GetZones() {
 		p.Zones = append(p.Zones, gage.ZoneSummary{Zone: d.name(z.GetName()), Age: d.age(z.GetAge()), Downstream: d.dependencies(z.GetDownstream())})
 	}
--- a/gage/state/roster/plan.go
+++ b/gage/state/roster/plan.go
@@ -11,14 +11,28 @@
 // other zones.
 const RelaysPerZone = 2
 
+const (
+	// A relay sends each state in full when it has changed, fullCopies times in case a
+	// datagram is lost, and then every fullInterval. In between it sends the load only.
+	fullCopies   = 2
+	fullInterval = 2 * time.Second
+)
+
+// sentState is a state that a relay has sent in full.
+type sentState struct {
+	fingerprint uint32
+	copies      int
+	at          time.Time
+}
+
 // BroadcastPlan lists the addresses to which a node sends states, and the
 // states of others that it passes on as a relay.
 type BroadcastPlan struct {
 	// SameZone lists the responsive nodes in the node's own zone. Unresponsive lists
 	// the unresponsive nodes in all zones.
 	SameZone, Unresponsive []string
-	// Relays lists the relays of the other zones. It is empty if the node itself is
-	// no relay.
+	// Relays lists one relay of each other zone. It is empty if the node itself is no
+	// relay. The relays of a zone choose different ones.
 	Relays []string
 	// OwnZone holds the states and the summary of the node's own zone, to be sent to
 	// the relays of the other zones. OtherZones holds those of the other zones, to be
@@ -48,27 +62,21 @@
 	for _, list := range peersByZone {
 		sort.Slice(list, func(i, j int) bool { return list[i].VM < list[j].VM })
 	}
-	if !r.isRelay(peersByZone[r.zone]) {
+	rank := r.relayRank(peersByZone[r.zone])
+	if rank < 0 {
 		return plan
 	}
 	summary := gage.ZoneSummary{Zone: r.zone, Downstream: make(map[string][]string)}
 	for zone, list := range peersByZone {
 		if zone != r.zone {
-			for i := 0; i < min(RelaysPerZone, len(list)); i++ {
-				plan.Relays = append(plan.Relays, list[i].Address)
-			}
+			plan.Relays = append(plan.Relays, list[min(rank, len(list)-1)].Address)
 		}
 		for _, p := range list {
-			s := p.NodeState
-			s.Age = now.Sub(p.UpdatedAt)
 			if zone == r.zone {
-				mergeDependencies(summary.Downstream, s.Downstream)
-			}
-			s.Downstream = nil
-			if zone == r.zone {
-				plan.OwnZone.States = append(plan.OwnZone.States, s)
+				mergeDependencies(summary.Downstream, p.Downstream)
+				r.addState(now, &plan.OwnZone, r.sentOwnZone, p)
 			} else {
-				plan.OtherZones.States = append(plan.OtherZones.States, s)
+				r.addState(now, &plan.OtherZones, r.sentOtherZones, p)
 			}
 		}
 	}
@@ -81,13 +89,36 @@
 	return plan
 }
 
-// isRelay reports whether this node is one of the relays of its zone, given the
-// responsive nodes in the zone sorted by VM.
-func (r *Roster) isRelay(zone []*Peer) bool {
+// addState adds the state of a peer to a packet, in full or only its load. The state of
+// this node itself is always added in full, since it tells the other zones which
+// documents are current.
+func (r *Roster) addState(now time.Time, packet *gage.Packet, sent map[string]sentState, p *Peer) {
+	last := sent[p.VM]
+	if last.fingerprint != p.fingerprint {
+		last = sentState{fingerprint: p.fingerprint}
+	}
+	age := now.Sub(p.UpdatedAt)
+	if p.VM != r.self && last.copies >= fullCopies && now.Sub(last.at) < fullInterval {
+		packet.Loads = append(packet.Loads, gage.LoadUpdate{
+			Fingerprint: p.fingerprint, Sequence: p.Sequence, Age: age,
+			InFlight: p.Target.InFlight, Queued: p.Target.Queued, Pressure: p.Target.Pressure,
+		})
+		return
+	}
+	s := p.NodeState
+	s.Age, s.Downstream = age, nil
+	packet.States = append(packet.States, s)
+	last.copies, last.at = last.copies+1, now
+	sent[p.VM] = last
+}
+
+// relayRank returns the index of this node among the relays of its zone, given the
+// responsive nodes in the zone sorted by VM. It is -1 if this node is no relay.
+func (r *Roster) relayRank(zone []*Peer) int {
 	for i := 0; i < min(RelaysPerZone, len(zone)); i++ {
 		if zone[i].VM == r.self {
-			return true
+			return i
 		}
 	}
-	return false
+	return -1
 }
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -29,6 +29,8 @@
 	gage.NodeState
 	// UpdatedAt is when the node sent the state, zero if it never has.
 	UpdatedAt time.Time
+	// fingerprint is that of the state.
+	fingerprint uint32
 	// startedSinceUpdate counts the requests that this node has sent to the target
 	// since it last received the target's load.
 	startedSinceUpdate int
@@ -50,7 +52,12 @@
 	peers map[string]*Peer
 	// ordered holds the same peers, sorted by VM.
 	ordered []*Peer
-	random  *rand.Rand
+	// byFingerprint holds the peers that have reported their state.
+	byFingerprint map[uint32]*Peer
+	// sentOwnZone and sentOtherZones hold the states that this node, as a relay, has
+	// sent in full, by VM.
+	sentOwnZone, sentOtherZones map[string]sentState
+	random                      *rand.Rand
 	// closedZones are the zones taken out of service.
 	closedZones map[string]bool
 	// zones holds the last summary of each other zone.
@@ -71,7 +78,11 @@
 // New returns the roster of the node self in zone. Random draws the candidates
 // for a request.
 func New(self, zone string, random *rand.Rand) *Roster {
-	return &Roster{self: self, zone: zone, random: random, peers: make(map[string]*Peer), closedZones: make(map[string]bool), zones: make(map[string]zoneSummary), seenServices: make(map[string]bool)}
+	return &Roster{
+		self: self, zone: zone, random: random, peers: make(map[string]*Peer), byFingerprint: make(map[uint32]*Peer),
+		closedZones: make(map[string]bool), zones: make(map[string]zoneSummary), seenServices: make(map[string]bool),
+		sentOwnZone: make(map[string]sentState), sentOtherZones: make(map[string]sentState),
+	}
 }
 
 // AddAddress adds a node of which only the address is known. The address of a
@@ -101,6 +112,11 @@
 // remove drops a peer.
 func (r *Roster) remove(p *Peer) {
 	delete(r.peers, p.VM)
+	delete(r.sentOwnZone, p.VM)
+	delete(r.sentOtherZones, p.VM)
+	if r.byFingerprint[p.fingerprint] == p {
+		delete(r.byFingerprint, p.fingerprint)
+	}
 	r.ordered = slices.DeleteFunc(r.ordered, func(other *Peer) bool { return other == p })
 }
 
@@ -120,6 +136,16 @@
 		return false, false
 	}
 	reconnected = p.UpdatedAt.IsZero() || now.Sub(p.UpdatedAt) > unresponsiveAfter || s.StartedAt != p.StartedAt
+	if reconnected {
+		// The node may have missed the states of others.
+		clear(r.sentOwnZone)
+		clear(r.sentOtherZones)
+	}
+	if r.byFingerprint[p.fingerprint] == p {
+		delete(r.byFingerprint, p.fingerprint)
+	}
+	p.fingerprint = s.Fingerprint()
+	r.byFingerprint[p.fingerprint] = p
 	if s.Target.ID != p.Target.ID {
 		p.failureShare = 0
 	}
@@ -127,10 +153,34 @@
 	if s.Target.ID != "" {
 		r.seenServices[s.Target.Service] = true
 	}
+	p.heardAt(now)
+	return true, reconnected
+}
+
+func (p *Peer) heardAt(now time.Time) {
 	p.UpdatedAt = now
 	p.startedSinceUpdate = 0
 	p.avoidUntil = time.Time{}
-	return true, reconnected
+}
+
+// UpdateLoad records the load of a node whose state is known. It returns false if the
+// state is not known, or if the known one is newer.
+func (r *Roster) UpdateLoad(now time.Time, l gage.LoadUpdate) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.byFingerprint[l.Fingerprint]
+	if p == nil || p.VM == r.self || l.Sequence <= p.Sequence {
+		return false
+	}
+	now = now.Add(-l.Age)
+	elapsed := max(now.Sub(p.UpdatedAt), 0)
+	p.Sequence, p.Target.InFlight, p.Target.Queued, p.Target.Pressure = l.Sequence, l.InFlight, l.Queued, l.Pressure
+	p.Target.ColdRemaining = max(p.Target.ColdRemaining-elapsed, 0)
+	if p.ConfirmedAge >= 0 {
+		p.ConfirmedAge += elapsed
+	}
+	p.heardAt(now)
+	return true
 }
 
 // SetClosedZones replaces the set of zones that are out of service.
--- a/gage/state/roster/roster_test.go
+++ b/gage/state/roster/roster_test.go
@@ -213,6 +213,9 @@
 		for _, s := range d.States {
 			r.Update(now, s)
 		}
+		for _, l := range d.Loads {
+			r.UpdateLoad(now, l)
+		}
 	}
 }
 
@@ -238,3 +241,141 @@
 	update(r, start, leaving, nodeState("a3", "a", 1))
 	assert.DeepEqual(t, r.Fleet(start, true), roster.Fleet{Members: []string{"a3"}, Known: 1})
 }
+
+// zoneRelays simulates two zones of nodes, whose first relays exchange packets.
+type zoneRelays struct {
+	now       time.Time
+	states    []gage.NodeState
+	from, to  *roster.Roster
+	lost      func(round int) bool
+	round     int
+	fullCount int
+	loadCount int
+}
+
+func newZoneRelays(nodes int) *zoneRelays {
+	z := &zoneRelays{now: start, from: roster.New("a00", "a", random()), to: roster.New("b00", "b", random())}
+	for i := range nodes {
+		z.states = append(z.states, nodeState(fmt.Sprintf("a%02d", i), "a", 0))
+	}
+	z.from.Update(z.now, nodeState("b00", "b", 1))
+	return z
+}
+
+// exchange lets each node of zone a report its state and the relay send its packet.
+func (z *zoneRelays) exchange() {
+	z.now = z.now.Add(200 * time.Millisecond)
+	z.round++
+	for i := range z.states {
+		z.states[i].Sequence++
+		z.from.Update(z.now, z.states[i])
+	}
+	b := nodeState("b00", "b", uint64(z.round+1))
+	z.from.Update(z.now, b)
+	z.to.Update(z.now, b)
+	packet := z.from.BroadcastPlan(z.now).OwnZone
+	z.fullCount, z.loadCount = len(packet.States), len(packet.Loads)
+	if z.lost == nil || !z.lost(z.round) {
+		deliver(z.to, z.now, packet)
+	}
+}
+
+func (z *zoneRelays) peer(vm string) roster.Peer {
+	for _, p := range z.to.Peers(z.now) {
+		if p.VM == vm {
+			return p
+		}
+	}
+	return roster.Peer{}
+}
+
+// In a steady fleet, a relay sends few states in full, and the other zone still learns
+// every load.
+func TestRelaySendsOnlyTheLoadOfUnchangedStates(t *testing.T) {
+	const nodes, rounds = 30, 50
+	z := newZoneRelays(nodes)
+	full := 0
+	for round := range rounds {
+		z.states[7].Target.InFlight = round
+		z.exchange()
+		assert.Equal(t, z.fullCount+z.loadCount, nodes)
+		full += z.fullCount
+		assert.Equal(t, z.peer("a07").Target.InFlight, round)
+		assert.Assert(t, z.peer("a29").Alive(z.now))
+	}
+	assert.Assert(t, full <= rounds+nodes*9, "%d states sent in full", full)
+}
+
+func TestChangedStatesReachTheOtherZoneAtOnce(t *testing.T) {
+	z := newZoneRelays(10)
+	for range 5 {
+		z.exchange()
+	}
+	changes := map[string]func(s *gage.NodeState){
+		"a01": func(s *gage.NodeState) { s.Target.Phase = gage.TargetDraining },
+		"a02": func(s *gage.NodeState) { s.Target = gage.TargetState{} },
+		"a03": func(s *gage.NodeState) { s.Leaving = true },
+		"a04": func(s *gage.NodeState) { s.Target.ColdRemaining, s.Target.ColdRate = 3*time.Second, 20 },
+		"a05": func(s *gage.NodeState) { s.StartedAt, s.Sequence = 2, 0 },
+		"a06": func(s *gage.NodeState) { s.Address = "a06:7001" },
+		"a07": func(s *gage.NodeState) { s.Target.Limit = 7 },
+	}
+	for i := range z.states {
+		if change := changes[z.states[i].VM]; change != nil {
+			change(&z.states[i])
+		}
+	}
+	z.exchange()
+	for i := range z.states {
+		p := z.peer(z.states[i].VM)
+		assert.DeepEqual(t, p.NodeState, z.states[i])
+	}
+}
+
+// A cold target is known to stay cold for as long as it said, although only its load is
+// sent meanwhile.
+func TestColdTimeRunsDownBetweenFullStates(t *testing.T) {
+	z := newZoneRelays(3)
+	z.states[1].Target.ColdRate = 20
+	for i := range 12 {
+		z.states[1].Target.ColdRemaining = 10*time.Second - time.Duration(i)*200*time.Millisecond
+		z.exchange()
+		assert.Equal(t, z.peer("a01").Target.ColdRemaining, z.states[1].Target.ColdRemaining)
+	}
+}
+
+// A lost packet delays what it tells by the time until the next one.
+func TestLostPacketDelaysNewsBriefly(t *testing.T) {
+	z := newZoneRelays(10)
+	for range 5 {
+		z.exchange()
+	}
+	z.states[4].Target.Phase = gage.TargetDraining
+	z.lost = func(round int) bool { return round == 6 }
+	z.exchange()
+	assert.Equal(t, z.peer("a04").Target.Phase, gage.TargetServing)
+	z.exchange()
+	assert.Equal(t, z.peer("a04").Target.Phase, gage.TargetDraining)
+}
+
+// A node that starts after the relay has sent the states learns them when it is heard.
+func TestNewNodeLearnsAllStates(t *testing.T) {
+	z := newZoneRelays(10)
+	for range 5 {
+		z.exchange()
+	}
+	z.to = roster.New("b01", "b", random())
+	z.from.Update(z.now, nodeState("b01", "b", 1))
+	z.exchange()
+	assert.Assert(t, z.peer("a09").Alive(z.now))
+}
+
+func TestForgedLoadsChangeNothing(t *testing.T) {
+	z := newZoneRelays(3)
+	z.exchange()
+	known := z.peer("a01")
+	fingerprint := known.Fingerprint()
+	assert.Assert(t, !z.to.UpdateLoad(z.now, gage.LoadUpdate{Fingerprint: fingerprint + 1, Sequence: 99, InFlight: 50}))
+	assert.Assert(t, !z.to.UpdateLoad(z.now, gage.LoadUpdate{Fingerprint: fingerprint, Sequence: known.Sequence, InFlight: 50}))
+	assert.DeepEqual(t, z.peer("a01").NodeState, known.NodeState)
+}
--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -23,8 +23,10 @@
 	minBroadcastInterval = 80 * time.Millisecond
 	// Unresponsive nodes are included in every unresponsiveEvery-th broadcast.
 	unresponsiveEvery = 5
-	// maxStatesPerDatagram keeps digests within the size of a datagram.
+	// maxStatesPerDatagram and maxLoadsPerDatagram keep packets within the size of a
+	// datagram.
 	maxStatesPerDatagram = 40
+	maxLoadsPerDatagram  = 400
 	// documentsPath is the HTTP path at which nodes serve the operators'
 	// documents to each other.
 	documentsPath = "/gage/documents"
@@ -125,21 +127,20 @@
 		recipients = append(recipients, plan.Unresponsive...)
 	}
 	m.sendStates(gage.Packet{States: []gage.NodeState{state}}, recipients)
-	if len(plan.OwnZone.States) > 0 {
-		m.sendStates(plan.OwnZone, plan.Relays)
-	}
-	if isRegular && len(plan.OtherZones.States) > 0 {
+	m.sendStates(plan.OwnZone, plan.Relays)
+	if isRegular {
 		m.sendStates(plan.OtherZones, plan.SameZone)
 	}
 }
 
-// sendStates sends the states of a packet to the nodes at addresses, split into
-// datagrams.
+// sendStates sends the states and loads of a packet to the nodes at addresses, split
+// into datagrams.
 func (m *Mesh) sendStates(p gage.Packet, addresses []string) {
-	for len(addresses) > 0 && len(p.States) > 0 {
+	for len(addresses) > 0 && len(p.States)+len(p.Loads) > 0 {
 		part := p
 		part.States = p.States[:min(maxStatesPerDatagram, len(p.States))]
-		p = gage.Packet{States: p.States[len(part.States):]}
+		part.Loads = p.Loads[:min(maxLoadsPerDatagram, len(p.Loads))]
+		p = gage.Packet{States: p.States[len(part.States):], Loads: p.Loads[len(part.Loads):]}
 		m.sendPacket(part, addresses...)
 	}
 }
@@ -179,6 +180,9 @@
 			m.handleState(ctx, now, s)
 		}
 	}
+	for _, l := range p.Loads {
+		m.roster.UpdateLoad(now, l)
+	}
 }
 
 // requestTokens sends a request for tokens to the node on a VM.
