A new issuer starts with tokens for the fraction of the fleet that it hears

From 13.5 s on 97 nodes issue, each of which hears only itself: their rates add up to the whole, as each is scaled by the fraction that it hears, but each started with one token and a tenth of the burst.

Change: the first tokens are scaled by that fraction as well, and the one token more is gone. In return a bucket begins to fill when the node becomes an issuer, not at the first request.

--- a/gage/coordination/broker/broker_test.go
+++ b/gage/coordination/broker/broker_test.go
@@ -39,6 +39,8 @@
 	// loss is the probability that a datagram is lost, and duplication that it
 	// arrives twice.
 	loss, duplication float64
+	// hearing is the probability that a state of a node is heard.
+	hearing float64
 	// isCut reports whether no datagrams pass between two nodes. It may be nil.
 	isCut func(i, j int) bool
 	// admitted holds the time of each admitted request by workspace.
@@ -61,8 +63,10 @@
 	broker *broker.Broker
 	// isDown is true while the process does not run, isPaused while it is stopped.
 	isDown, isPaused bool
-	// heardAt is when this node last heard each other node.
-	heardAt []time.Time
+	// heardAt is when this node last heard each other node, listedAt when it last
+	// listed the nodes in the store.
+	heardAt  []time.Time
+	listedAt time.Time
 	// backlog holds the deliveries to a paused process.
 	backlog []func()
 }
@@ -76,6 +80,7 @@
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, seed)), limits: map[string]ration.Limits{workspace: limits},
 		admitted: make(map[string][]time.Time),
+		hearing:  1,
 		perfect:  bucket.New(time.Now(), limits.Rate, limits.Burst),
 	}
 	for i := range nodes {
@@ -173,13 +178,14 @@
 		var members []string
 		known := 0
 		for j, other := range f.nodes {
-			if !other.isDown && !other.isPaused && (i == j || f.isCut == nil || !f.isCut(j, i)) {
+			isHeard := i == j || f.hearing == 1 || f.float() < f.hearing
+			if isHeard && !other.isDown && !other.isPaused && (i == j || f.isCut == nil || !f.isCut(j, i)) {
 				n.heardAt[j] = now
 			}
 			if now.Sub(n.heardAt[j]) < responsiveTime {
 				members = append(members, other.vm)
 			}
-			if now.Sub(n.heardAt[j]) < knownTime {
+			if now.Sub(n.heardAt[j]) < knownTime || now.Sub(n.listedAt) < knownTime {
 				known++
 			}
 		}
@@ -536,6 +542,7 @@
 	simulate(t, func(t *testing.T) {
 		limits := ration.Limits{Rate: 1, Burst: 4}
 		f := newFleet(6, 1, limits)
+		time.Sleep(5 * time.Second)
 		n := f.nodes[0]
 		result := f.request(n, workspace, false)
 		assert.Equal(t, result.Reason, gage.ReasonNone)
@@ -545,10 +552,34 @@
 		for range 4 {
 			f.request(n, workspace, false)
 		}
+		// The issuer still holds one token.
 		assert.Assert(t, len(f.admitted[workspace]) <= 2, "%d admitted", len(f.admitted[workspace]))
 	})
 }
 
+// All nodes are killed while a workspace sends far more than its rate. When they have
+// restarted, they find each other in the store and hear of each other one by one.
+func TestLimitsHoldWhileRestartedNodesFindEachOther(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		const nodes = 95
+		limits := ration.Limits{Rate: 85, Burst: 85}
+		f := newFleet(12, nodes, limits)
+		f.run(6*time.Second, atAll(0.5*limits.Rate/nodes))
+		f.run(3500*time.Millisecond, atAll(3*limits.Rate/nodes))
+		for i, n := range f.nodes {
+			f.start(i)
+			n.heardAt, n.listedAt = make([]time.Time, nodes), time.Now()
+		}
+		f.hearing = 0
+		f.run(500*time.Millisecond, atAll(3*limits.Rate/nodes))
+		f.hearing = 0.1
+		f.run(1500*time.Millisecond, atAll(3*limits.Rate/nodes))
+		f.hearing = 1
+		f.run(4*time.Second, atAll(3*limits.Rate/nodes))
+		f.assertWithinLimits(t)
+	})
+}
+
 func TestUnknownWorkspacesAreNotLimited(t *testing.T) {
 	simulate(t, func(t *testing.T) {
 		f := newFleet(7, 2, ration.Limits{Rate: 1, Burst: 1})
--- a/gage/state/ration/issuer.go
+++ b/gage/state/ration/issuer.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// initialFillFraction is the fraction of an issuer's burst that its bucket holds
-	// when the node becomes an issuer. It is small, because the tokens that earlier
-	// issuers granted are not known.
+	// initialFillFraction is the fraction of an issuer's part of the burst that its
+	// bucket holds when the node becomes an issuer. It is small, because the tokens that
+	// earlier issuers granted are not known, and applies to the fraction of the fleet
+	// that the node hears, because more nodes believe that they are issuers while they
+	// hear few others.
 	initialFillFraction = 0.1
 	// A refused caller is promised a token only if one is due within promiseHorizon.
 	// Most callers cannot wait longer.
@@ -75,8 +77,8 @@
 	a := i.accounts[r.Workspace]
 	burst := math.Max(1, limits.Burst*part)
 	if a == nil || a.openedAt.Before(since) {
-		a = &account{openedAt: now, bucket: bucket.New(now, 0, burst)}
-		a.bucket.Tokens = math.Min(burst, 1+initialFillFraction*burst)
+		a = &account{openedAt: now, bucket: bucket.New(since, limits.Rate*part*live, burst)}
+		a.bucket.Tokens = initialFillFraction * burst * live
 		i.accounts[r.Workspace] = a
 	}
 	a.bucket.SetLimits(now, limits.Rate*part*live, burst)
--- a/gage/state/ration/ration_test.go
+++ b/gage/state/ration/ration_test.go
@@ -105,7 +105,8 @@
 	for range 100 {
 		granted += i.Issue(full, again, request, limits, 1, 1).Count
 	}
-	assert.Assert(t, granted >= 1 && granted <= 11, "%d", granted)
+	// A tenth of the burst, and the rate since the node became an issuer.
+	assert.Equal(t, granted, 10+10)
 }
 
 // An issuer that hears half of the fleet issues half of its part.
