A restarted node does not use a target that has left

A node told a target "gone", stopped, and started again before the target had ended. The new process learnt the target's ID by a health check, ignored the status of the answer, since health answers may be wrong, and sent requests to the target for 1.3 s more. Operators of similar systems met the same: a server that had left was in use again after a restart.

Ruled out: a late heartbeat (none in the log between the restart and the end); keeping departures in the store (a call for each, also when no node restarts).

Change: the status of the identity check counts for a process of the target that has not sent a heartbeat to this process of the node; a healthy answer is still enough, so that a restarted node serves before the next heartbeat. A departure told to a node that knows no target yet is kept until a later process of the target reports.

Tests: TestRestartedNodeDoesNotUseATargetThatHasLeft (deregistered, draining) and TestRestartedNodeHeedsADeparture fail on the old code; TestRestartedNodeUsesAHealthyTarget.

--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -76,6 +76,9 @@
 	sequence  int64
 	service   string
 	phase     gage.TargetPhase
+	// hasReported is true if the present target process has sent a heartbeat, so that
+	// phase is what it said.
+	hasReported bool
 	// identityConfirmed is true if the target has reported its identity since
 	// this node started, since the target was last marked suspect, and since its
 	// zone last returned to service. While it is false, requests are refused.
@@ -121,7 +124,7 @@
 	}
 	stateBefore := t.stateLocked(now)
 	t.adoptIdentity(now, r.ID, r.StartedAt)
-	t.sequence, t.service, t.identityConfirmed = r.Sequence, r.Service, true
+	t.sequence, t.service, t.identityConfirmed, t.hasReported = r.Sequence, r.Service, true, true
 	t.setPhase(now, r.Phase)
 	if r.Slots > 0 {
 		t.gate.Limit = max(1, int(float64(r.Slots)*slotUtilization))
@@ -150,13 +153,17 @@
 
 // Depart marks the target process with the given ID as permanently gone. startedAt
 // is the Unix time in milliseconds at which that process started, or 0 if unknown.
-// Depart does nothing if id is not that of the current target process, or if a
-// known startedAt is before the start of the current process.
+// Depart does nothing if another target process is known, or if a known startedAt is
+// before the start of the current process.
 func (m *Mesh) Depart(now time.Time, id string, startedAt int64) {
 	t := m.localTarget
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if id != t.id || (startedAt != 0 && startedAt < t.startedAt) {
+	if t.id == "" {
+		// This node has restarted. A later process of the target starts after now.
+		t.adoptIdentity(now, id, max(startedAt, now.UnixMilli()))
+	}
+	if id != t.id || (startedAt != 0 && startedAt < t.startedAt && t.hasReported) {
 		return
 	}
 	t.setPhase(now, gage.TargetGone)
@@ -178,7 +185,7 @@
 		t.gate = slots.New(now, limit)
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
-	t.id, t.sequence, t.phase = id, 0, gage.TargetServing
+	t.id, t.sequence, t.phase, t.hasReported = id, 0, gage.TargetServing, false
 	t.startedAt = max(startedAt, t.startedAt)
 	t.progressAt = now
 }
@@ -336,7 +343,6 @@
 }
 
 // checkIdentity requests the target's health check path to learn its identity.
-// The health that the response reports is ignored, because it may be wrong.
 func (t *localTarget) checkIdentity(ctx context.Context, now time.Time, path string) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
@@ -357,15 +363,22 @@
 		t.mesh.log.info("TargetNotChecked", zap.Int("Status", response.Status))
 		return
 	}
-	t.handleIdentity(t.mesh.options.Clock.Now(), targetID, response.Header.Get(names.ColdMillis))
+	t.handleIdentity(t.mesh.options.Clock.Now(), targetID, response.Status, response.Header.Get(names.ColdMillis))
 }
 
-func (t *localTarget) handleIdentity(now time.Time, id, coldMillis string) {
+// handleIdentity records the result of an identity check. The health that its status
+// reports may be wrong, and is ignored for a process that has sent a heartbeat. Any
+// other process may be leaving: it may have said so before this node started.
+func (t *localTarget) handleIdentity(now time.Time, id string, status int, coldMillis string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.identityConfirmed {
 		return
 	}
+	if isHealthy := status >= 200 && status < 300; !isHealthy && (id != t.id || !t.hasReported) {
+		t.mesh.log.info("TargetNotChecked", zap.String("Target", id), zap.Int("Status", status), zap.Bool("HasReported", false))
+		return
+	}
 	parsedColdMillis, err := strconv.ParseFloat(coldMillis, 64)
 	if coldMillis != "" && err != nil {
 		t.mesh.log.warn("ColdTimeNotRead", zap.String("Value", coldMillis), zap.Error(err))
--- /dev/null
+++ b/stand/plat/restart_test.go
@@ -0,0 +1,83 @@
+package plat_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagewind/greengagewind/platform/node"
+)
+
+// restartNode starts a new process of a stopped node. Its target sends it no heartbeat.
+func (f *fleet) restartNode(v *vm) {
+	n, err := node.Start(v.settings, newLogger(f.t, v.settings.Self.VM))
+	assert.NilError(f.t, err)
+	v.node = n
+}
+
+// assertNoRuns sends requests to the service "booking" for a while and asserts that none
+// of them runs.
+func (f *fleet) assertNoRuns() {
+	f.t.Helper()
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		a := f.send(0, "POST", "/book/1", key)
+		assert.Equal(f.t, a.status, 503)
+		assert.Equal(f.t, len(f.runs(a.header.Get("X-Request-Id"))), 0)
+	}
+}
+
+// A target says that it leaves, and the process of its node restarts before the target
+// has ended. The new process must not use the target again.
+func TestRestartedNodeDoesNotUseATargetThatHasLeft(t *testing.T) {
+	t.Parallel()
+	for _, how := range []string{"Deregistered", "Draining"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			v := f.vms[2]
+			if how == "Draining" {
+				assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "draining", 0))
+			} else {
+				assert.NilError(t, v.target.Deregister(v.settings.HeartbeatAddress))
+			}
+			v.node.Stop()
+			f.restartNode(v)
+			f.assertNoRuns()
+		})
+	}
+}
+
+// A target says that it leaves to a process of its node that has restarted and heard
+// nothing of the target. Its health check lies.
+func TestRestartedNodeHeedsADeparture(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	v.node.Stop()
+	f.restartNode(v)
+	id := v.target.ID
+	request, err := http.NewRequest(http.MethodDelete, "http://"+v.settings.HeartbeatAddress+"/-/instances/"+id, strings.NewReader(""))
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, 200)
+	f.assertNoRuns()
+	assert.NilError(t, v.target.Restart())
+	assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+	f.waitFor("the next process of the target is used", func() bool { return f.send(0, "POST", "/book/1", key).status == 200 })
+}
+
+// A healthy target is used soon after its node has restarted, before it sends the next
+// heartbeat.
+func TestRestartedNodeUsesAHealthyTarget(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	v.node.Stop()
+	f.restartNode(v)
+	f.waitFor("the target is used again", func() bool { return f.send(0, "POST", "/book/1", key).status == 200 })
+}
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -128,6 +128,15 @@
 // Stop closes the listener and all connections, as a crash does.
 func (t *Target) Stop() { _ = t.server.Close() }
 
+// Restart starts the target again at its address, as a new process with the same ID.
+func (t *Target) Restart() error {
+	t.Stop()
+	t.mu.Lock()
+	t.sequence, t.isDraining = 0, false
+	t.mu.Unlock()
+	return t.StartAt(t.Address)
+}
+
 // SetFault sets the fault for later requests. TargetHealthy ends the current fault.
 func (t *Target) SetFault(fault TargetFault) {
 	t.mu.Lock()
@@ -346,6 +355,9 @@
 // Deregister announces that the target ends to its node, whose address for heartbeats
 // is control. It returns an error when the node does not accept the announcement.
 func (t *Target) Deregister(control string) error {
+	t.mu.Lock()
+	t.isDraining = true
+	t.mu.Unlock()
 	return t.announce(http.MethodDelete, control, nil)
 }
 
