Two nodes of a fleet read the store; others take over in order of rank

Cause: one node a zone polled the store, so that the calls grew with the zones, and when confirmations stopped, every node of the fleet called the store three times a second.

Ruled out: longer polls (a poll confirms nothing until it returns, and keys are refused 4.4 s after the last confirmation); a single reader (its rejection by the store would always cost a takeover).

Change: nodes are ordered by a hash of their names. The first two poll as before. If the last confirmation is older than 2.4 s the next node polls too, one more for each 0.1 s beyond, all at 3.3 s. Such a node goes on for 4 s when it reaches the store, and doubles its pause up to 1.5 s while it does not.

--- a/gage/coordination/mirror/mirror.go
+++ b/gage/coordination/mirror/mirror.go
@@ -21,14 +21,26 @@
 	pollWait = 800 * time.Millisecond
 	// callTimeout bounds a call to the store. For a poll pollWait is added.
 	callTimeout = 1200 * time.Millisecond
-	// retryPause is the pause after a call to the store that failed.
-	retryPause = 300 * time.Millisecond
+	// retryPause is the pause after a call to the store that failed. It doubles with
+	// each further failure, up to maxRetryPause, at nodes that are not among the
+	// regular readers.
+	retryPause    = 300 * time.Millisecond
+	maxRetryPause = 1500 * time.Millisecond
 	// roleCheckInterval is how often a node that does not read the store checks
 	// whether it should.
 	roleCheckInterval = 100 * time.Millisecond
-	// A node reads the store itself if the last confirmation of its snapshot is
-	// older than maxConfirmationAge.
-	maxConfirmationAge = 1800 * time.Millisecond
+	// readerCount is the number of nodes of a fleet that read the store regularly.
+	readerCount = 2
+	// If the last confirmation of its snapshot is older than takeoverAge, the next node
+	// in order of rank reads the store too, and one more for each takeoverStep beyond,
+	// all of them at takeoverLimit. Confirmations of a regular reader arrive at all
+	// nodes before takeoverAge.
+	takeoverAge   = 2400 * time.Millisecond
+	takeoverStep  = 100 * time.Millisecond
+	takeoverLimit = 3300 * time.Millisecond
+	// takeoverTime is how long such a node goes on reading after it has reached the
+	// store.
+	takeoverTime = 4 * time.Second
 	// fetchTimeout bounds the time to fetch the documents from another node.
 	fetchTimeout = 500 * time.Millisecond
 )
@@ -53,8 +65,9 @@
 	Prefix string
 	Clock  gage.Clock
 	Logger *zap.Logger
-	// ReadsStore reports whether this node is one of those that read the store.
-	ReadsStore func(now time.Time) bool
+	// ReadRank returns the number of live nodes that read the store before this one.
+	// The order of the nodes is the same at all of them.
+	ReadRank func(now time.Time) int
 	// OnChange is called with each newer snapshot. Run and the goroutines that
 	// fetch from other nodes call it, so that calls can overlap.
 	OnChange func(now time.Time, s Snapshot)
@@ -73,6 +86,12 @@
 	isFetching bool
 	// isStoreLost is true while calls to the store fail. Only Run uses it.
 	isStoreLost bool
+	// failures is the number of calls to the store that have failed since the last
+	// success. Only Run uses it.
+	failures int
+	// readsUntil is the time until which this node reads the store because it has taken
+	// over from the regular readers. Only Run uses it.
+	readsUntil time.Time
 }
 
 // New returns an empty mirror.
@@ -89,35 +108,56 @@
 }
 
 // Run reads the store once at the start. After that, until ctx ends, it reads the
-// store while this node is one of the readers. It also reads the store while the
-// last confirmation of the snapshot is older than maxConfirmationAge.
+// store while this node is one of the readers, and while the snapshot has not been
+// confirmed for so long that it takes over from them.
 func (m *Mirror) Run(ctx context.Context) {
 	first := true
 	for ctx.Err() == nil {
 		now := m.options.Clock.Now()
 		snapshot, confirmedAt := m.Latest()
-		shouldRead := first || m.options.ReadsStore(now) || now.Sub(confirmedAt) > maxConfirmationAge
+		rank := m.options.ReadRank(now)
+		takesOver := gage.Elapsed(now, confirmedAt) > takeoverAgeOf(rank)
+		if !first && rank >= readerCount && !takesOver && !now.Before(m.readsUntil) {
+			sleep(ctx, roleCheckInterval)
+			continue
+		}
 		first = false
 		var err error
-		pause := roleCheckInterval
-		switch {
-		case !shouldRead:
-		case snapshot.StoreRevision == 0:
+		pause := time.Duration(0)
+		if snapshot.StoreRevision == 0 {
 			err = m.load(ctx, now)
-		default:
-			pause = 0
-			err = m.poll(ctx, now, snapshot)
-		}
-		if shouldRead {
-			m.logReachability(err)
+			pause = roleCheckInterval
+		} else {
+			err = m.poll(ctx, now, snapshot, takesOver)
 		}
+		m.logReachability(err)
 		if err != nil {
-			pause = retryPause
+			pause = m.pauseAfterFailure(rank)
+			m.failures++
+		} else {
+			m.failures = 0
+			if takesOver && snapshot.StoreRevision != 0 {
+				m.readsUntil = now.Add(takeoverTime)
+			}
 		}
 		sleep(ctx, pause)
 	}
 }
 
+// takeoverAgeOf returns the age of the last confirmation above which a node of a rank
+// reads the store, although it is not a regular reader.
+func takeoverAgeOf(rank int) time.Duration {
+	return min(takeoverAge+time.Duration(max(rank-readerCount, 0))*takeoverStep, takeoverLimit)
+}
+
+// pauseAfterFailure returns the pause after a call that has failed.
+func (m *Mirror) pauseAfterFailure(rank int) time.Duration {
+	if rank < readerCount {
+		return retryPause
+	}
+	return min(retryPause<<min(m.failures, 10), maxRetryPause)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -170,11 +210,16 @@
 	return nil
 }
 
-// poll waits for changes after snapshot s and applies them.
-func (m *Mirror) poll(ctx context.Context, now time.Time, s Snapshot) error {
+// poll reads the changes after snapshot s and applies them. It waits for a change, or
+// returns at once if isUrgent.
+func (m *Mirror) poll(ctx context.Context, now time.Time, s Snapshot, isUrgent bool) error {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
 	defer cancel()
-	changes, revision, err := m.options.Store.Poll(ctx, m.options.Prefix, s.StoreRevision, pollWait)
+	wait := pollWait
+	if isUrgent {
+		wait = 0
+	}
+	changes, revision, err := m.options.Store.Poll(ctx, m.options.Prefix, s.StoreRevision, wait)
 	if errors.Is(err, gage.ErrCompacted) {
 		return m.load(ctx, m.options.Clock.Now())
 	}
--- a/gage/coordination/mirror/mirror_test.go
+++ b/gage/coordination/mirror/mirror_test.go
@@ -94,13 +94,17 @@
 func (clock) Now() time.Time { return time.Now() }
 
 // startMirror returns a mirror that runs until the end of the test. isReader is
-// the result of ReadsStore.
+// whether it is one of the regular readers.
 func startMirror(t *testing.T, s *store, isReader bool, fetch func(string) mirror.Snapshot) *mirror.Mirror {
 	t.Helper()
+	rank := 99
+	if isReader {
+		rank = 0
+	}
 	m := mirror.New(mirror.Options{
 		Store: s, Prefix: "op/", Clock: clock{}, Logger: zap.NewNop(),
-		ReadsStore: func(time.Time) bool { return isReader },
-		OnChange:   func(time.Time, mirror.Snapshot) {},
+		ReadRank: func(time.Time) int { return rank },
+		OnChange: func(time.Time, mirror.Snapshot) {},
 		Fetch: func(_ context.Context, address string) (mirror.Snapshot, error) {
 			return fetch(address), nil
 		},
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -29,6 +30,8 @@
 	gage.NodeState
 	// UpdatedAt is when the node sent the state, zero if it never has.
 	UpdatedAt time.Time
+	// orderKey is the position of the node in the order of Rank.
+	orderKey uint64
 	// fingerprint is that of the state.
 	fingerprint uint32
 	// startedSinceUpdate counts the requests that this node has sent to the target
@@ -104,6 +107,7 @@
 
 // insert adds a peer that is not known yet.
 func (r *Roster) insert(p *Peer) {
+	p.orderKey = orderKey(p.VM)
 	r.peers[p.VM] = p
 	at, _ := slices.BinarySearchFunc(r.ordered, p.VM, func(p *Peer, vm string) int { return strings.Compare(p.VM, vm) })
 	r.ordered = slices.Insert(r.ordered, at, p)
@@ -239,6 +243,31 @@
 	return n
 }
 
+// Rank returns the number of responsive nodes, not counting leaving ones, that precede
+// this one in an order that is the same at all nodes and mixes the zones.
+func (r *Roster) Rank(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own, rank := orderKey(r.self), 0
+	for _, p := range r.ordered {
+		if p.VM != r.self && !p.Leaving && p.orderKey < own && r.isResponsive(now, p) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// orderKey returns the position of a VM in the order of Rank.
+func orderKey(vm string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(vm))
+	// The last bytes of similar names change the high bits only after mixing.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
 // isResponsive reports whether the last state of a peer is recent. States from other
 // zones may be older, since none arrive while the relays of a zone are replaced.
 func (r *Roster) isResponsive(now time.Time, p *Peer) bool {
--- a/gage/state/roster/roster_test.go
+++ b/gage/state/roster/roster_test.go
@@ -379,3 +379,26 @@
 	assert.Assert(t, !z.to.UpdateLoad(z.now, gage.LoadUpdate{Fingerprint: fingerprint, Sequence: known.Sequence, InFlight: 50}))
 	assert.DeepEqual(t, z.peer("a01").NodeState, known.NodeState)
 }
+
+// Nodes that know the same fleet have different ranks, and the first ones are in
+// different zones more often than not.
+func TestRanksOrderTheFleet(t *testing.T) {
+	const nodes, zones = 30, 3
+	seen := make(map[int]string)
+	for i := range nodes {
+		r := roster.New(fmt.Sprintf("n%02d", i), fmt.Sprintf("z%d", i%zones), random())
+		for j := range nodes {
+			s := nodeState(fmt.Sprintf("n%02d", j), fmt.Sprintf("z%d", j%zones), 1)
+			s.Leaving = j == 3
+			update(r, start, s)
+		}
+		if i == 3 {
+			continue
+		}
+		rank := r.Rank(start)
+		assert.Equal(t, seen[rank], "", "rank %d", rank)
+		seen[rank] = r.Fleet(start, false).Members[0]
+		assert.Assert(t, rank < nodes-1, "a leaving node does not count")
+		assert.Equal(t, r.Rank(start.Add(time.Minute)), 0, "a node that hears no other comes first")
+	}
+}
--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -206,18 +206,6 @@
 	}
 }
 
-// readsStore reports whether this node reads the operators' documents from the
-// store for its zone. It does unless the zone has another live node that is not
-// leaving and whose VM name sorts before this node's.
-func (m *Mesh) readsStore(now time.Time) bool {
-	for _, p := range m.roster.Peers(now) {
-		if p.Zone == m.options.Self.Zone && p.Alive(now) && !p.Leaving && p.VM < m.options.Self.VM {
-			return false
-		}
-	}
-	return true
-}
-
 // registerWithRetry calls register until it succeeds or ctx ends.
 func (m *Mesh) registerWithRetry(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -184,13 +184,13 @@
 	m.bounds.Store(&options.Bounds)
 	m.localTarget = newLocalTarget(m)
 	m.mirror = mirror.New(mirror.Options{
-		Store:      options.Store,
-		Prefix:     options.DocumentPrefix,
-		Clock:      options.Clock,
-		Logger:     options.Logger,
-		ReadsStore: m.readsStore,
-		OnChange:   m.documentsChanged,
-		Fetch:      m.fetchDocuments,
+		Store:    options.Store,
+		Prefix:   options.DocumentPrefix,
+		Clock:    options.Clock,
+		Logger:   options.Logger,
+		ReadRank: m.roster.Rank,
+		OnChange: m.documentsChanged,
+		Fetch:    m.fetchDocuments,
 	})
 	return m, nil
 }
--- a/stand/plat/fleet_test.go
+++ b/stand/plat/fleet_test.go
@@ -41,7 +41,7 @@
 
 // fleet is a store and VMs that all run in the test process.
 type fleet struct {
-	t            *testing.T
+	t            testing.TB
 	store        *plat.Store
 	storeAddress string
 	vms          []*vm
@@ -59,7 +59,7 @@
 }
 
 // newEmptyFleet returns a fleet with a configuration and without VMs.
-func newEmptyFleet(t *testing.T) *fleet {
+func newEmptyFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: plat.NewStore(), requestCount: new(atomic.Int64)}
 	server := httptest.NewServer(f.store.Handler())
@@ -77,7 +77,7 @@
 
 // newFleet returns a fleet with two VMs of service "search" and one VM of service
 // "booking". It waits until all nodes serve requests.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := newEmptyFleet(t)
 	for _, service := range []string{"search", "search", "booking"} {
@@ -159,8 +159,12 @@
 	assert.NilError(f.t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
 }
 
-// newLogger returns a logger that writes to the log of the test.
-func newLogger(t *testing.T, name string) *zap.Logger {
+// newLogger returns a logger that writes to the log of the test. Benchmarks log
+// nothing.
+func newLogger(t testing.TB, name string) *zap.Logger {
+	if _, isBenchmark := t.(*testing.B); isBenchmark {
+		return zap.NewNop()
+	}
 	return zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel)).Named(name)
 }
 
