Do not refuse a request as not run after a target has run it

Cause: an idempotent request that a target answered with 500 was sent to another target; when that one refused it, the caller got 503 with Retry-After, which says that nothing has run. The token of its workspace's rate was given back as well.

Ruled out: answering 502 in place of the 503 (true, but the target's answer is at hand, and says more).

Change: the answer of the first target is kept and delivered when no later attempt gets one. A run that failed counts as one for the rate.

Test: TestRefusalIsTrueAfterAFailedRun fails on the old code.

--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -303,9 +303,19 @@
 }
 
 // tryTargets sends a request to one target after another until one answers or no
-// further attempt is allowed. It returns the result of the last attempt.
+// further attempt is allowed. It returns the result of the last attempt, or the answer of
+// an earlier target if the last attempt got none: a request that has run must not be
+// refused as one that has not.
 func (m *Mesh) tryTargets(ctx context.Context, q *request) attemptResult {
 	lastResult := notRun(gage.ReasonNoTarget, "no target of the service accepts requests")
+	var answered *attemptResult
+	orAnswered := func(r attemptResult) attemptResult {
+		if answered != nil && r.reason != gage.ReasonNone {
+			r.close()
+			return *answered
+		}
+		return r
+	}
 	for range maxTargetsTried {
 		now := m.options.Clock.Now()
 		if q.arrivals > 0 && !m.spendRetry(now, q) {
@@ -319,18 +329,21 @@
 		q.expectedTarget = peer.Target.ID
 		r := m.send(ctx, peer, q)
 		m.observe(peer, r)
-		q.mayHaveRun = q.mayHaveRun || r.outcome == gage.OutcomeUnknown
+		q.mayHaveRun = q.mayHaveRun || r.outcome != gage.OutcomeNotRun
 		if r.outcome != gage.OutcomeNotRun || r.rejectedByTarget {
 			q.arrivals++
 		}
 		m.log.attemptFailed(q, peer, &r)
 		if !m.mayTryAnother(ctx, q, &r) {
-			return r
+			return orAnswered(r)
+		}
+		if r.outcome == gage.OutcomeRan && r.bodyRest == nil {
+			answered = &r
 		}
 		r.close()
 		lastResult = r
 	}
-	return lastResult
+	return orAnswered(lastResult)
 }
 
 func (m *Mesh) send(ctx context.Context, peer roster.Peer, q *request) attemptResult {
--- a/stand/plat/nodes_test.go
+++ b/stand/plat/nodes_test.go
@@ -400,6 +400,28 @@
 	assert.Assert(t, deadlineMillis-waitMillis >= minMarginMillis, "wait %d ms, deadline in %d ms", waitMillis, deadlineMillis)
 }
 
+// A request runs at a target that fails, and the target that is tried next rejects it.
+// The caller gets the answer of the first one, and is not told that nothing has run.
+func TestRefusalIsTrueAfterAFailedRun(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.vms[0].target.SetFault(plat.TargetFails)
+	f.vms[1].target.SetFault(plat.TargetRejects)
+	failed := 0
+	for range 60 {
+		a := f.send(0, "GET", "/look/1", key)
+		runs := f.runs(a.header.Get("X-Request-Id"))
+		if len(runs) > 0 {
+			failed++
+			assert.Equal(t, a.status, 500)
+			assert.Equal(t, a.header.Get("X-Response-Signature"), "signed-i-vm-0")
+		} else {
+			assert.Equal(t, a.status, 503)
+		}
+	}
+	assert.Assert(t, failed > 0)
+}
+
 func TestQuotaIsEnforcedAcrossNodes(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
