A restarted node keeps its registration and polls once it knows its rank

Cause: each start of a process made four calls to the store: it wrote its address, listed the nodes, read the documents, and polled at once, since a node that has heard no other believes that it is the first reader.

Ruled out: listing nodes by stale reads, at a tenth of the price: nodes that start at the same time might not find each other.

Change: a process that is not of the first start lists the nodes first, and writes its address only if it is not there as it should be. The first poll waits 0.8 s after the first read.

Test: TestRestartedNodeKeepsItsRegistration (also with a new address).

--- a/gage/coordination/mirror/mirror.go
+++ b/gage/coordination/mirror/mirror.go
@@ -29,6 +29,9 @@
 	// roleCheckInterval is how often a node that does not read the store checks
 	// whether it should.
 	roleCheckInterval = 100 * time.Millisecond
+	// rankSettlingTime is the pause after the first read. A node that has just started
+	// does not know yet which nodes read before it.
+	rankSettlingTime = 800 * time.Millisecond
 	// readerCount is the number of nodes of a fleet that read the store regularly.
 	readerCount = 2
 	// If the last confirmation of its snapshot is older than takeoverAge, the next node
@@ -126,7 +129,7 @@
 		pause := time.Duration(0)
 		if snapshot.StoreRevision == 0 {
 			err = m.load(ctx, now)
-			pause = roleCheckInterval
+			pause = rankSettlingTime
 		} else {
 			err = m.poll(ctx, now, snapshot, takesOver)
 		}
--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -218,19 +218,45 @@
 	}
 }
 
-// register writes this node's address to the store and adds the other nodes
-// listed there to the roster.
+// register makes sure that this node's address is in the store, and adds the other
+// nodes listed there to the roster. It lists the nodes after the address was written: of
+// two nodes that register at the same time, at least one then finds the other.
 func (m *Mesh) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	self := m.options.Self
-	if err := m.options.Store.Put(ctx, m.options.NodePrefix+self.VM, []byte(self.PeerAddress)); err != nil {
+	if !m.options.IsFirstStart {
+		entries, err := m.listNodes(ctx)
+		if err != nil {
+			return err
+		}
+		for _, e := range entries {
+			if e.Key == m.options.NodePrefix+m.options.Self.VM && string(e.Value) == m.options.Self.PeerAddress {
+				m.addListed(entries)
+				return nil
+			}
+		}
+	}
+	if err := m.options.Store.Put(ctx, m.options.NodePrefix+m.options.Self.VM, []byte(m.options.Self.PeerAddress)); err != nil {
 		return fmt.Errorf("write this node's address: %w", err)
 	}
+	entries, err := m.listNodes(ctx)
+	if err != nil {
+		return err
+	}
+	m.addListed(entries)
+	return nil
+}
+
+func (m *Mesh) listNodes(ctx context.Context) ([]gage.Entry, error) {
 	entries, _, err := m.options.Store.List(ctx, m.options.NodePrefix)
 	if err != nil {
-		return fmt.Errorf("list the nodes: %w", err)
+		return nil, fmt.Errorf("list the nodes: %w", err)
 	}
+	return entries, nil
+}
+
+// addListed adds the nodes listed in the store to the roster.
+func (m *Mesh) addListed(entries []gage.Entry) {
 	now := m.options.Clock.Now()
 	for _, e := range entries {
 		m.roster.AddAddress(now, e.Key[len(m.options.NodePrefix):], string(e.Value))
@@ -238,7 +264,6 @@
 	m.listedNodeCount.Store(int64(len(entries)))
 	m.options.Logger.Info("Registered", zap.Int("Nodes", len(entries)))
 	m.broadcastSoon()
-	return nil
 }
 
 // fetchDocuments fetches the operators' documents from the node at address.
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -108,6 +108,8 @@
 	// NodePrefix is the key prefix under which each node registers its address
 	// in the store.
 	NodePrefix string
+	// IsFirstStart is true if no node has been registered in the store before.
+	IsFirstStart bool
 	// Decode parses the operators' documents into the configuration and the
 	// names of the zones that are out of service. Generation 0 means that the
 	// documents hold no configuration.
--- a/stand/plat/restart_test.go
+++ b/stand/plat/restart_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/greengagewind/greengagewind/platform/node"
+	"github.com/greengagewind/greengagewind/stand/plat"
 )
 
 // restartNode starts a new process of a stopped node. Its target sends it no heartbeat.
@@ -81,3 +83,32 @@
 	f.restartNode(v)
 	f.waitFor("the target is used again", func() bool { return f.send(0, "POST", "/book/1", key).status == 200 })
 }
+
+// A node that restarts at its address does not write to the store, and finds the others
+// there. A node of another address replaces the old one.
+func TestRestartedNodeKeepsItsRegistration(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	registered := f.registration(v)
+	v.node.Stop()
+	f.restartNode(v)
+	f.waitFor("the target is used again", func() bool { return f.send(0, "POST", "/book/1", key).status == 200 })
+	assert.DeepEqual(t, f.registration(v), registered)
+	v.node.Stop()
+	v.settings.Self.PeerAddress = strings.Replace(v.settings.Self.PeerAddress, ":7000", ":7002", 1)
+	f.restartNode(v)
+	f.waitFor("the target is used at the new address", func() bool { return f.send(0, "POST", "/book/1", key).status == 200 })
+	assert.Assert(t, f.registration(v).Revision > registered.Revision)
+}
+
+// registration returns the item of a node in the store.
+func (f *fleet) registration(v *vm) plat.Item {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.storeAddress + "/-/kv-key?key=gage/nodes/" + v.settings.Self.VM)
+	assert.NilError(f.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var item plat.Item
+	assert.NilError(f.t, json.NewDecoder(response.Body).Decode(&item))
+	return item
+}
