--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -44,7 +44,8 @@
 	s, confirmed := m.mirror.Latest()
 	age := time.Duration(-1)
 	if !confirmed.IsZero() {
-		age = now.Sub(confirmed)
+		// A suspended node must not pass on an old confirmation as a recent one.
+		age = gage.Elapsed(now, confirmed)
 	}
 	return gage.NodeState{
 		VM:           m.options.Self.VM,
