An issuer's first tokens grow with the fleet that it hears

An issuer got its first tokens for the fraction of the fleet that it heard at the first request, a few nodes, and nothing more when it heard the others. A workspace of few requests a second then waited a second or more for a token.

Ruled out: too low a rate while nodes find each other (the rates of all issuers together are the whole rate at each moment).

Change: the first tokens are a fifth of the burst in place of a tenth, at least four requests for all issuers of a workspace together, and are added as the fraction grows.

--- a/gage/coordination/broker/broker_test.go
+++ b/gage/coordination/broker/broker_test.go
@@ -580,6 +580,38 @@
 	})
 }
 
+// After all nodes were restarted, a workspace within its rate is served as soon as the
+// nodes have found each other.
+func TestRestartedFleetServesSoon(t *testing.T) {
+	for _, limits := range []ration.Limits{{Rate: 85, Burst: 93}, {Rate: 240, Burst: 248}, {Rate: 4, Burst: 12}} {
+		t.Run(fmt.Sprintf("rate %g", limits.Rate), func(t *testing.T) {
+			requests, refused := 0, 0
+			for seed := range uint64(20) {
+				simulate(t, func(t *testing.T) {
+					const nodes = 60
+					f := newFleet(seed, nodes, limits)
+					demand := atAll(0.6 * limits.Rate / nodes)
+					f.run(4*time.Second, demand)
+					for i, n := range f.nodes {
+						f.start(i)
+						n.heardAt, n.listedAt = make([]time.Time, nodes), time.Now()
+					}
+					f.hearing = 0
+					f.run(200*time.Millisecond, demand)
+					f.hearing = 0.6
+					f.run(400*time.Millisecond, demand)
+					f.hearing, f.requests, f.refused = 1, 0, 0
+					f.run(2*time.Second, demand)
+					f.assertWithinLimits(t)
+					requests, refused = requests+f.requests, refused+f.refused
+				})
+			}
+			t.Logf("%d of %d requests refused", refused, requests)
+			assert.Assert(t, refused <= requests/50, "%d of %d requests refused", refused, requests)
+		})
+	}
+}
+
 func TestUnknownWorkspacesAreNotLimited(t *testing.T) {
 	simulate(t, func(t *testing.T) {
 		f := newFleet(7, 2, ration.Limits{Rate: 1, Burst: 1})
--- a/gage/state/ration/issuer.go
+++ b/gage/state/ration/issuer.go
@@ -12,11 +12,14 @@
 
 const (
 	// initialFillFraction is the fraction of an issuer's part of the burst that its
-	// bucket holds when the node becomes an issuer. It is small, because the tokens that
-	// earlier issuers granted are not known, and applies to the fraction of the fleet
-	// that the node hears, because more nodes believe that they are issuers while they
-	// hear few others.
-	initialFillFraction = 0.1
+	// bucket gets when the node becomes an issuer. It is small, because the tokens that
+	// earlier issuers granted are not known. A node that hears a part of the fleet gets
+	// that part of it, and the rest as it hears more: the fewer others nodes hear, the
+	// more of them believe that they are issuers.
+	initialFillFraction = 0.2
+	// minInitialFill is the smallest initial fill of all issuers of a workspace together,
+	// in requests, if the burst is not smaller.
+	minInitialFill = 4
 	// A refused caller is promised a token only if one is due within promiseHorizon.
 	// Most callers cannot wait longer.
 	promiseHorizon = time.Second
@@ -52,6 +55,9 @@
 	bucket bucket.Bucket
 	// openedAt is when the bucket was last reset.
 	openedAt time.Time
+	// filledFor is the fraction of the fleet for which the bucket has got its initial
+	// fill.
+	filledFor float64
 	// promises holds the times at which refused callers were told to return, in
 	// ascending order.
 	promises []time.Time
@@ -78,10 +84,14 @@
 	burst := math.Max(1, limits.Burst*part)
 	if a == nil || a.openedAt.Before(since) {
 		a = &account{openedAt: now, bucket: bucket.New(since, limits.Rate*part*live, burst)}
-		a.bucket.Tokens = initialFillFraction * burst * live
 		i.accounts[r.Workspace] = a
 	}
 	a.bucket.SetLimits(now, limits.Rate*part*live, burst)
+	if live > a.filledFor {
+		initialFill := part * math.Max(initialFillFraction*limits.Burst, minInitialFill)
+		a.bucket.Tokens = math.Min(burst, a.bucket.Tokens+initialFill*(live-a.filledFor))
+		a.filledFor = live
+	}
 	a.dropLapsed(now)
 	free := a.bucket.Tokens
 	if !r.Returning || !a.redeem(now) {
