Relays take turns, and news between rounds does not count as sent

On the way a fault of the relays' full states was found: a broadcast between two rounds drew up the states of the other zones, which it does not send, and counted them as sent. A zone could miss a changed state for two seconds.

Change: of the two relays of a zone, one sends loads in even and the other in odd rounds; changed states are sent by both at once. NewsPlan leaves out what it does not send, and rounds are counted by regular broadcasts only.

Tests: TestRelaysTakeTurns; TestNewsBetweenRoundsDoesNotReplaceFullStates, which the plan without a separate form for news fails.

--- a/gage/state/roster/plan.go
+++ b/gage/state/roster/plan.go
@@ -40,8 +40,20 @@
 	OwnZone, OtherZones gage.Packet
 }
 
-// BroadcastPlan returns the addresses and the states for a broadcast at now.
-func (r *Roster) BroadcastPlan(now time.Time) BroadcastPlan {
+// BroadcastPlan returns the addresses and the states for the regular broadcast of a round
+// at now. The two relays of a zone take turns: in every other round, a relay sends only
+// the states that it sends in full.
+func (r *Roster) BroadcastPlan(now time.Time, round int) BroadcastPlan {
+	return r.plan(now, round, true)
+}
+
+// NewsPlan returns the addresses and the states for a broadcast between two rounds. It has
+// no loads, and no states of other zones, which are most of the traffic in a large fleet.
+func (r *Roster) NewsPlan(now time.Time) BroadcastPlan {
+	return r.plan(now, 0, false)
+}
+
+func (r *Roster) plan(now time.Time, round int, isRegular bool) BroadcastPlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var plan BroadcastPlan
@@ -75,12 +87,18 @@
 			if zone == r.zone {
 				mergeDependencies(summary.Downstream, p.Downstream)
 				r.addState(now, &plan.OwnZone, r.sentOwnZone, p)
-			} else {
+			} else if isRegular {
 				r.addState(now, &plan.OtherZones, r.sentOtherZones, p)
 			}
 		}
 	}
+	if !isRegular || round%RelaysPerZone != rank {
+		plan.OwnZone.Loads, plan.OtherZones.Loads = nil, nil
+	}
 	plan.OwnZone.Zones = []gage.ZoneSummary{summary}
+	if !isRegular {
+		return plan
+	}
 	for _, z := range r.zones {
 		other := z.ZoneSummary
 		other.Age = now.Sub(z.UpdatedAt)
--- a/gage/state/roster/roster_test.go
+++ b/gage/state/roster/roster_test.go
@@ -183,7 +183,7 @@
 					r.Update(now, other)
 				}
 			}
-			plan := r.BroadcastPlan(now)
+			plan := r.BroadcastPlan(now, round)
 			assert.Assert(t, len(plan.SameZone) < nodes/zones)
 			for _, address := range plan.SameZone {
 				deliver(rosters[address[:3]], now, gage.Packet{States: []gage.NodeState{s}}, plan.OtherZones)
@@ -273,7 +273,7 @@
 	b := nodeState("b00", "b", uint64(z.round+1))
 	z.from.Update(z.now, b)
 	z.to.Update(z.now, b)
-	packet := z.from.BroadcastPlan(z.now).OwnZone
+	packet := z.from.BroadcastPlan(z.now, 0).OwnZone
 	z.fullCount, z.loadCount = len(packet.States), len(packet.Loads)
 	if z.lost == nil || !z.lost(z.round) {
 		deliver(z.to, z.now, packet)
@@ -370,6 +370,65 @@
 	assert.Assert(t, z.peer("a09").Alive(z.now))
 }
 
+// The two relays of a zone take turns in sending the loads, and both send changed states
+// in every round.
+func TestRelaysTakeTurns(t *testing.T) {
+	const nodes = 6
+	relays := []*roster.Roster{roster.New("a00", "a", random()), roster.New("a01", "a", random())}
+	for round := range 20 {
+		now := start.Add(time.Duration(round) * 200 * time.Millisecond)
+		for i := range nodes {
+			s := nodeState(fmt.Sprintf("a%02d", i), "a", uint64(round+1))
+			if round >= 15 && i == 4 {
+				s.Target.Phase = gage.TargetDraining
+			}
+			update(relays[0], now, s)
+			update(relays[1], now, s)
+		}
+		loads, drained := 0, 0
+		for _, r := range relays {
+			update(r, now, nodeState("b00", "b", uint64(round+1)))
+			packet := r.BroadcastPlan(now, round).OwnZone
+			if len(packet.Loads) > 0 {
+				loads++
+			}
+			for _, s := range packet.States {
+				if s.Target.Phase == gage.TargetDraining {
+					drained++
+				}
+			}
+		}
+		assert.Assert(t, loads <= 1, "round %d: %d relays send loads", round, loads)
+		assert.Assert(t, round < 3 || round%10 < 2 || loads == 1, "round %d: no relay sends loads", round)
+		if round == 15 {
+			assert.Equal(t, drained, 2)
+		}
+	}
+}
+
+// Broadcasts between two rounds do not carry the states of other zones, and must not
+// count as having sent them.
+func TestNewsBetweenRoundsDoesNotReplaceFullStates(t *testing.T) {
+	relay := roster.New("a00", "a", random())
+	now := start
+	for round := range 6 {
+		now = now.Add(200 * time.Millisecond)
+		b := nodeState("b00", "b", uint64(round+1))
+		if round == 5 {
+			b.Target.Phase = gage.TargetDraining
+		}
+		update(relay, now, nodeState("a00", "a", uint64(round+1)), b)
+		if round < 5 {
+			relay.BroadcastPlan(now, round)
+		}
+	}
+	for range 3 {
+		news := relay.NewsPlan(now)
+		assert.Equal(t, len(news.OtherZones.States)+len(news.OtherZones.Loads)+len(news.OwnZone.Loads), 0)
+	}
+	assert.Equal(t, len(relay.BroadcastPlan(now, 0).OtherZones.States), 1, "the change is still to be told")
+}
+
 func TestForgedLoadsChangeNothing(t *testing.T) {
 	z := newZoneRelays(3)
 	z.exchange()
--- a/gage/transport/mesh/fleet.go
+++ b/gage/transport/mesh/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagewind/greengagewind/gage"
 	"github.com/greengagewind/greengagewind/gage/coordination/mirror"
+	"github.com/greengagewind/greengagewind/gage/state/roster"
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
 )
 
@@ -76,12 +77,14 @@
 func (m *Mesh) broadcastStates(ctx context.Context) {
 	ticker := time.NewTicker(broadcastInterval)
 	defer ticker.Stop()
-	for round := 0; ; round++ {
+	round := 0
+	for {
 		isRegular := true
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			round++
 		case <-m.broadcastNow:
 			isRegular = false
 		}
@@ -113,25 +116,27 @@
 
 // broadcast updates the broker, the retry burst and the brake, which depend
 // on the states of all nodes, and sends this node's state. A relay also sends the
-// digest of its own zone to other zones. If isRegular is true, it also sends the
-// digest of the other zones to the nodes of its own zone. Irregular broadcasts omit
-// this digest, since it is most of the traffic in a large fleet.
+// states of its own zone to other zones and, in a regular round, those of the other
+// zones to its own.
 func (m *Mesh) broadcast(now time.Time, round int, isRegular bool) {
 	m.setFleet(now)
 	m.setRetryBurst(m.roster.ResponsiveNodes(now))
 	state := m.state(now)
 	m.roster.Update(now, state)
 	m.adjustBrake(now)
-	plan := m.roster.BroadcastPlan(now)
+	var plan roster.BroadcastPlan
+	if isRegular {
+		plan = m.roster.BroadcastPlan(now, round)
+	} else {
+		plan = m.roster.NewsPlan(now)
+	}
 	recipients := plan.SameZone
 	if round%unresponsiveEvery == 0 {
 		recipients = append(recipients, plan.Unresponsive...)
 	}
 	m.sendStates(gage.Packet{States: []gage.NodeState{state}}, recipients)
 	m.sendStates(plan.OwnZone, plan.Relays)
-	if isRegular {
-		m.sendStates(plan.OtherZones, plan.SameZone)
-	}
+	m.sendStates(plan.OtherZones, plan.SameZone)
 }
 
 // sendStates sends the states and loads of a packet to the nodes at addresses, split
