A node issues no tokens before it knows the fleet

Cause, found in reading: a new broker took itself for the whole fleet until the first broadcast. A request that came in between would have found a fifth of the burst of its workspace at each restarted node.

Change: the fraction of the fleet that a new broker hears is 0.

Test: TestNothingIsIssuedBeforeTheFleetIsKnown fails on the old code.

--- a/gage/coordination/broker/broker.go
+++ b/gage/coordination/broker/broker.go
@@ -46,7 +46,8 @@
 	purse   *ration.Purse
 	// limits holds the limits of each workspace that has any.
 	limits map[string]ration.Limits
-	// live is the fraction of the fleet from which this node receives states.
+	// live is the fraction of the fleet from which this node receives states, 0 until
+	// SetFleet is called.
 	live float64
 	// pending holds the requests sent by their ID, until they are answered or
 	// their tokens would have expired.
@@ -71,7 +72,8 @@
 	grant gage.TokenGrant
 }
 
-// New returns a broker of a node that knows no other nodes and no workspaces.
+// New returns a broker of a node that knows no workspaces and nothing of the fleet. It
+// issues no tokens until SetFleet is called.
 func New(now time.Time, options Options) *Broker {
 	return &Broker{
 		options:      options,
@@ -79,7 +81,6 @@
 		issuer:       ration.NewIssuer(),
 		purse:        ration.NewPurse(),
 		limits:       make(map[string]ration.Limits),
-		live:         1,
 		pending:      make(map[uint64]*pendingRequest),
 		suspectUntil: make(map[string]time.Time),
 	}
--- a/gage/coordination/broker/broker_test.go
+++ b/gage/coordination/broker/broker_test.go
@@ -621,6 +621,21 @@
 	})
 }
 
+// A process that has just started, and knows its configuration but nothing of the fleet,
+// must not issue the whole rate to itself.
+func TestNothingIsIssuedBeforeTheFleetIsKnown(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		f := newFleet(13, 1, ration.Limits{Rate: 100, Burst: 100})
+		f.start(0)
+		for range 50 {
+			assert.Equal(t, f.request(f.nodes[0], workspace, false).Reason, gage.ReasonOverRate)
+		}
+		f.updateViews()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, f.request(f.nodes[0], workspace, false).Reason, gage.ReasonNone)
+	})
+}
+
 // A request ends without a token when no issuer answers.
 func TestNoIssuerAnswers(t *testing.T) {
 	simulate(t, func(t *testing.T) {
--- a/gage/state/ration/issuer.go
+++ b/gage/state/ration/issuer.go
@@ -77,7 +77,7 @@
 
 // Issue answers a request for tokens of a workspace. Since is when this node became
 // an issuer of the workspace. Part is the fraction of the limits that it issues, in
-// (0, 1]. Live, in (0, 1], is the fraction of the fleet that the node receives states
+// (0, 1]. Live, in [0, 1], is the fraction of the fleet that the node receives states
 // from: the issuers on the other side of a network partition issue the rest.
 func (i *Issuer) Issue(now, since time.Time, r gage.TokenRequest, limits Limits, part, live float64) gage.TokenGrant {
 	a := i.accounts[r.Workspace]
