--- a/gage/state/roster/roster_test.go
+++ b/gage/state/roster/roster_test.go
@@ -439,8 +439,7 @@
 	assert.DeepEqual(t, z.peer("a01").NodeState, known.NodeState)
 }
 
-// Nodes that know the same fleet have different ranks, and the first ones are in
-// different zones more often than not.
+// Nodes that know the same fleet have different ranks.
 func TestRanksOrderTheFleet(t *testing.T) {
 	const nodes, zones = 30, 3
 	seen := make(map[int]string)
