--- a/gage/coordination/mirror/mirror.go
+++ b/gage/coordination/mirror/mirror.go
@@ -71,8 +71,9 @@
 	// ReadRank returns the number of live nodes that read the store before this one.
 	// The order of the nodes is the same at all of them.
 	ReadRank func(now time.Time) int
-	// OnChange is called with each newer snapshot. Run and the goroutines that
-	// fetch from other nodes call it, so that calls can overlap.
+	// OnChange is called with each newer snapshot, by Run and by the goroutines that
+	// fetch from other nodes. The calls do not overlap, and each has a newer snapshot
+	// than the one before.
 	OnChange func(now time.Time, s Snapshot)
 	// Fetch returns the snapshot of the node at address.
 	Fetch func(ctx context.Context, address string) (Snapshot, error)
@@ -81,6 +82,8 @@
 // Mirror is one node's copy of the documents. It is safe for concurrent use.
 type Mirror struct {
 	options Options
+	// changes is held while latest is replaced and OnChange runs.
+	changes sync.Mutex
 	mu      sync.Mutex
 	latest  Snapshot
 	// confirmedAt is the latest time at which latest was known to be current.
@@ -264,6 +267,8 @@
 // advance makes s the latest snapshot if it is newer. Unless s is older than the
 // latest snapshot, advance also records that s was current at confirmedAt.
 func (m *Mirror) advance(s Snapshot, confirmedAt time.Time) {
+	m.changes.Lock()
+	defer m.changes.Unlock()
 	m.mu.Lock()
 	isNewer := s.Revision > m.latest.Revision
 	if isNewer {
--- a/gage/coordination/mirror/mirror_test.go
+++ b/gage/coordination/mirror/mirror_test.go
@@ -200,3 +200,59 @@
 		assert.Equal(t, s.polls, pollsBefore, "a node whose peers confirm its revision does not read the store")
 	})
 }
+
+// A node went back to an older configuration: a snapshot that was fetched from another
+// node was applied after a newer one that was read from the store meanwhile.
+func TestSnapshotsAreAppliedInOrder(t *testing.T) {
+	s := &store{entries: make(map[string]gage.Entry), revision: 1}
+	s.put("op/config", "first")
+	older := s.revision + 1
+	fetched := mirror.Snapshot{StoreRevision: older, Revision: older, Entries: map[string]gage.Entry{"op/config": {Key: "op/config", Value: []byte("older"), Revision: older}}}
+	var mu sync.Mutex
+	var applied []string
+	olderBegan, release := make(chan struct{}), make(chan struct{})
+	m := mirror.New(mirror.Options{
+		Store: s, Prefix: "op/", Clock: clock{}, Logger: zap.NewNop(),
+		ReadRank: func(time.Time) int { return 0 },
+		OnChange: func(_ time.Time, s mirror.Snapshot) {
+			if config(s) == "older" {
+				close(olderBegan)
+				<-release
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			applied = append(applied, config(s))
+		},
+		Fetch: func(context.Context, string) (mirror.Snapshot, error) { return fetched, nil },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { m.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	await(t, m, "loaded", func(s mirror.Snapshot) bool { return config(s) == "first" })
+	m.ObservePeer(ctx, "peer:1", older, time.Now())
+	<-olderBegan
+	s.put("op/config", "older")
+	s.put("op/config", "newer")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		polls := 0
+		s.update(func() { polls = s.polls })
+		if polls > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the node has not read the newer document yet")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	await(t, m, "changed", func(s mirror.Snapshot) bool { return config(s) == "newer" })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(applied) == 3 {
+			return poll.Success()
+		}
+		return poll.Continue("applied: %v", applied)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	assert.DeepEqual(t, applied, []string{"first", "older", "newer"})
+}
