Read the store in time when its readers are lost

What callers saw: a change that was not in force within the deployment's bound (config_apply), refused or routed as the older configuration says.

Cause: two nodes of a fleet poll the store for 0.8 s each; others took over once the last confirmation was 2.4 to 3.3 s old, at every deployment. If both readers lose the store without a word, the others waited longer than the bound. Class: a constant that must follow from a bound of the deployment, and did not.

Change: config_apply is read from the settings (Bounds.ChangeDelay). A poll waits for a quarter of it, the first node takes over at 0.8 of it and all at 0.95, which leaves the rest for the news to arrive. A node that takes over logs StoreReadTakenOver with its rank and the age of the confirmation. Its second call after a failure comes later, so that an outage costs no more calls than before.

Evidence: TestChangesAreInForceInTimeWithoutTheReaders in fake time, with 2 or 6 of 15 nodes, 2 of 71 and 8 of 95 lost: failed before in 8 of 28 cases, all with the bound of 2 s (up to 2.56 s), and passes.

Cost: calls of the readers every 0.5 s in place of 0.8 s where the bound is 2 s, 0.75 s where it is 3 s.

--- a/gage/coordination/mirror/fleet_test.go
+++ b/gage/coordination/mirror/fleet_test.go
@@ -32,24 +32,39 @@
 	changed  chan struct{}
 	calls    int
 	denies   func(node int) bool
+	// isSilent is true if calls of denied nodes get no answer instead of an error.
+	isSilent bool
 }
 
-func (s *sharedStore) call() error {
+// call counts a call and returns the error with which it ends, if it does.
+func (s *sharedStore) call(ctx context.Context) error {
 	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
 	s.fleet.calls++
-	if s.fleet.denies(s.node) {
-		return errDown
+	s.fleet.mu.Unlock()
+	return s.denial(ctx)
+}
+
+// denial returns an error if the store is out of reach for the node.
+func (s *sharedStore) denial(ctx context.Context) error {
+	s.fleet.mu.Lock()
+	isDenied, isSilent := s.fleet.denies(s.node), s.fleet.isSilent
+	s.fleet.mu.Unlock()
+	if !isDenied {
+		return nil
+	}
+	if isSilent {
+		<-ctx.Done()
+		return ctx.Err()
 	}
-	return nil
+	return errDown
 }
 
 func (s *sharedStore) entry() gage.Entry {
 	return gage.Entry{Key: "op/config", Value: []byte(fmt.Sprint(s.fleet.revision)), Revision: s.fleet.revision}
 }
 
-func (s *sharedStore) List(context.Context, string) ([]gage.Entry, int64, error) {
-	if err := s.call(); err != nil {
+func (s *sharedStore) List(ctx context.Context, _ string) ([]gage.Entry, int64, error) {
+	if err := s.call(ctx); err != nil {
 		return nil, 0, err
 	}
 	s.fleet.mu.Lock()
@@ -58,7 +73,7 @@
 }
 
 func (s *sharedStore) Poll(ctx context.Context, _ string, after int64, wait time.Duration) ([]gage.Entry, int64, error) {
-	if err := s.call(); err != nil {
+	if err := s.call(ctx); err != nil {
 		return nil, 0, err
 	}
 	s.fleet.mu.Lock()
@@ -73,6 +88,10 @@
 			return nil, 0, ctx.Err()
 		}
 	}
+	// An answer does not arrive at a node that has been cut off since the call.
+	if err := s.denial(ctx); err != nil {
+		return nil, 0, err
+	}
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if s.fleet.revision > after {
@@ -88,8 +107,18 @@
 	relayDelay   = 400 * time.Millisecond
 )
 
+// changeDelay is the time within which changes are to be in force at most deployments.
+const changeDelay = 3 * time.Second
+
 // runMirrorFleet starts a fleet, calls body, and ends it.
 func runMirrorFleet(t *testing.T, nodes int, body func(t *testing.T, f *mirrorFleet)) {
+	t.Helper()
+	runMirrorFleetWithin(t, changeDelay, nodes, body)
+}
+
+// runMirrorFleetWithin is runMirrorFleet for another time within which changes are to be
+// in force.
+func runMirrorFleetWithin(t *testing.T, maxDelay time.Duration, nodes int, body func(t *testing.T, f *mirrorFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &mirrorFleet{revision: 1, changed: make(chan struct{}), denies: func(int) bool { return false }}
@@ -99,6 +128,7 @@
 			m := mirror.New(mirror.Options{
 				Store: &sharedStore{node: i, fleet: f}, Prefix: "op/", Clock: clock{}, Logger: zap.NewNop(),
 				ReadRank: func(time.Time) int { return i },
+				MaxDelay: func() time.Duration { return maxDelay },
 				OnChange: func(time.Time, mirror.Snapshot) {},
 				Fetch: func(_ context.Context, address string) (mirror.Snapshot, error) {
 					var peer int
@@ -236,3 +266,35 @@
 		assert.Assert(t, oldest < 3*time.Second, "%s", oldest)
 	})
 }
+
+// A change was in force too late: the nodes that read the store lost it without a word,
+// and the others waited for them longer than the deployment's bound.
+func TestChangesAreInForceInTimeWithoutTheReaders(t *testing.T) {
+	cases := map[string]struct {
+		nodes, lost int
+		maxDelay    time.Duration
+	}{
+		"both of 15 nodes":  {15, 2, 2 * time.Second},
+		"six of 15 nodes":   {15, 6, 2 * time.Second},
+		"both of 71 nodes":  {71, 2, 2500 * time.Millisecond},
+		"eight of 95 nodes": {95, 8, 3 * time.Second},
+	}
+	for name, c := range cases {
+		for phase := time.Duration(0); phase < time.Second; phase += 150 * time.Millisecond {
+			t.Run(fmt.Sprint(name, " after ", phase), func(t *testing.T) {
+				runMirrorFleetWithin(t, c.maxDelay, c.nodes, func(t *testing.T, f *mirrorFleet) {
+					time.Sleep(3 * time.Second)
+					f.write()
+					time.Sleep(2*time.Second + phase)
+					f.mu.Lock()
+					f.isSilent = true
+					f.mu.Unlock()
+					f.deny(func(node int) bool { return node < c.lost })
+					f.write()
+					took := f.awaitRevision()
+					assert.Assert(t, took < c.maxDelay, "%s", took)
+				})
+			})
+		}
+	}
+}
--- a/gage/coordination/mirror/mirror.go
+++ b/gage/coordination/mirror/mirror.go
@@ -15,15 +15,26 @@
 	"github.com/greengagewind/greengagewind/gage"
 )
 
+// These times are shares of Options.MaxDelay. Two polls, the way of the news to all nodes
+// and the takeover by the last node fit into it.
 const (
-	// pollWait is how long the store may wait for a change before it answers a
-	// poll.
-	pollWait = 800 * time.Millisecond
-	// callTimeout bounds a call to the store. For a poll pollWait is added.
+	// pollShare is how long the store may wait for a change before it answers a poll.
+	pollShare = 0.25
+	// If the last confirmation of its snapshot is older than takeoverShare, the next node
+	// in order of rank reads the store too, and one more for each takeoverStepShare
+	// beyond, all of them at takeoverLimitShare. Confirmations of a regular reader arrive
+	// at all nodes before takeoverShare.
+	takeoverShare      = 0.8
+	takeoverStepShare  = 0.0125
+	takeoverLimitShare = 0.95
+)
+
+const (
+	// callTimeout bounds a call to the store. For a poll the time that the store may wait
+	// is added.
 	callTimeout = 1200 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed. It doubles with
-	// each further failure, up to maxRetryPause, at nodes that are not among the
-	// regular readers.
+	// each failure, up to maxRetryPause, at nodes that are not among the regular readers.
 	retryPause    = 300 * time.Millisecond
 	maxRetryPause = 1500 * time.Millisecond
 	// roleCheckInterval is how often a node that does not read the store checks
@@ -34,15 +45,8 @@
 	rankSettlingTime = 800 * time.Millisecond
 	// readerCount is the number of nodes of a fleet that read the store regularly.
 	readerCount = 2
-	// If the last confirmation of its snapshot is older than takeoverAge, the next node
-	// in order of rank reads the store too, and one more for each takeoverStep beyond,
-	// all of them at takeoverLimit. Confirmations of a regular reader arrive at all
-	// nodes before takeoverAge.
-	takeoverAge   = 2400 * time.Millisecond
-	takeoverStep  = 100 * time.Millisecond
-	takeoverLimit = 3300 * time.Millisecond
-	// takeoverTime is how long such a node goes on reading after it has reached the
-	// store.
+	// takeoverTime is how long a node that has taken over goes on reading after it has
+	// reached the store.
 	takeoverTime = 4 * time.Second
 	// fetchTimeout bounds the time to fetch the documents from another node.
 	fetchTimeout = 500 * time.Millisecond
@@ -71,6 +75,9 @@
 	// ReadRank returns the number of live nodes that read the store before this one.
 	// The order of the nodes is the same at all of them.
 	ReadRank func(now time.Time) int
+	// MaxDelay returns the time within which a change in the store must be in force at
+	// all nodes that reach it, even if nodes that read it are lost.
+	MaxDelay func() time.Duration
 	// OnChange is called with each newer snapshot, by Run and by the goroutines that
 	// fetch from other nodes. The calls do not overlap, and each has a newer snapshot
 	// than the one before.
@@ -122,11 +129,15 @@
 		now := m.options.Clock.Now()
 		snapshot, confirmedAt := m.Latest()
 		rank := m.options.ReadRank(now)
-		takesOver := gage.Elapsed(now, confirmedAt) > takeoverAgeOf(rank)
+		age := gage.Elapsed(now, confirmedAt)
+		takesOver := age > m.takeoverAge(rank)
 		if !first && rank >= readerCount && !takesOver && !now.Before(m.readsUntil) {
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
+		if !first && rank >= readerCount && takesOver && now.After(m.readsUntil) && m.failures == 0 {
+			m.options.Logger.Info("StoreReadTakenOver", zap.Int("Rank", rank), zap.Duration("ConfirmationAge", age), zap.Int64("Revision", snapshot.Revision))
+		}
 		first = false
 		var err error
 		pause := time.Duration(0)
@@ -150,10 +161,15 @@
 	}
 }
 
-// takeoverAgeOf returns the age of the last confirmation above which a node of a rank
+// shareOfDelay returns a share of Options.MaxDelay.
+func (m *Mirror) shareOfDelay(share float64) time.Duration {
+	return time.Duration(share * float64(m.options.MaxDelay()))
+}
+
+// takeoverAge returns the age of the last confirmation above which a node of a rank
 // reads the store, although it is not a regular reader.
-func takeoverAgeOf(rank int) time.Duration {
-	return min(takeoverAge+time.Duration(max(rank-readerCount, 0))*takeoverStep, takeoverLimit)
+func (m *Mirror) takeoverAge(rank int) time.Duration {
+	return m.shareOfDelay(min(takeoverShare+float64(max(rank-readerCount, 0))*takeoverStepShare, takeoverLimitShare))
 }
 
 // pauseAfterFailure returns the pause after a call that has failed.
@@ -161,7 +177,7 @@
 	if rank < readerCount {
 		return retryPause
 	}
-	return min(retryPause<<min(m.failures, 10), maxRetryPause)
+	return min(retryPause<<min(m.failures+1, 10), maxRetryPause)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -219,12 +235,12 @@
 // poll reads the changes after snapshot s and applies them. It waits for a change, or
 // returns at once if isUrgent.
 func (m *Mirror) poll(ctx context.Context, now time.Time, s Snapshot, isUrgent bool) error {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
-	defer cancel()
-	wait := pollWait
+	wait := m.shareOfDelay(pollShare)
 	if isUrgent {
 		wait = 0
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
 	changes, revision, err := m.options.Store.Poll(ctx, m.options.Prefix, s.StoreRevision, wait)
 	if errors.Is(err, gage.ErrCompacted) {
 		return m.load(ctx, m.options.Clock.Now())
--- a/gage/coordination/mirror/mirror_test.go
+++ b/gage/coordination/mirror/mirror_test.go
@@ -104,6 +104,7 @@
 	m := mirror.New(mirror.Options{
 		Store: s, Prefix: "op/", Clock: clock{}, Logger: zap.NewNop(),
 		ReadRank: func(time.Time) int { return rank },
+		MaxDelay: func() time.Duration { return changeDelay },
 		OnChange: func(time.Time, mirror.Snapshot) {},
 		Fetch: func(_ context.Context, address string) (mirror.Snapshot, error) {
 			return fetch(address), nil
@@ -214,6 +215,7 @@
 	m := mirror.New(mirror.Options{
 		Store: s, Prefix: "op/", Clock: clock{}, Logger: zap.NewNop(),
 		ReadRank: func(time.Time) int { return 0 },
+		MaxDelay: func() time.Duration { return changeDelay },
 		OnChange: func(_ time.Time, s mirror.Snapshot) {
 			if config(s) == "older" {
 				close(olderBegan)
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -80,6 +80,9 @@
 	// a second: at most its cold rate times ColdOverage, plus ColdSlack.
 	ColdOverage float64
 	ColdSlack   float64
+	// ChangeDelay is the time after which a change of the operators' documents must be in
+	// force at all nodes that reach the store.
+	ChangeDelay time.Duration
 	// Grace is the maximum time that a process may take to stop.
 	Grace time.Duration
 }
@@ -191,6 +194,7 @@
 		Clock:    options.Clock,
 		Logger:   options.Logger,
 		ReadRank: m.roster.Rank,
+		MaxDelay: func() time.Duration { return m.bounds.Load().ChangeDelay },
 		OnChange: m.documentsChanged,
 		Fetch:    m.fetchDocuments,
 	})
--- a/stand/plat/fleet_test.go
+++ b/stand/plat/fleet_test.go
@@ -141,7 +141,7 @@
 		StoreAddress: f.storeAddress,
 		Bounds: mesh.Bounds{
 			RevocationDelay: 2 * time.Second, RevokeEverywhere: true, RetryRatio: 0.2, RetrySlack: 50,
-			ColdOverage: 1.5, ColdSlack: 5, Grace: 6 * time.Second,
+			ColdOverage: 1.5, ColdSlack: 5, ChangeDelay: 2 * time.Second, Grace: 6 * time.Second,
 		},
 	}
 	if service == "search" {
