Do not send on the requests of callers that have left

What callers saw: requests ran at targets long after their callers had closed the connection, and took the slots of others.

Cause: the HTTP server notices a close in a goroutine that reads from the connection while the handler runs. A handler that finds a target at once sends the request on before that goroutine has run. A node that is behind with its work reads many such requests: the request and the close have waited together. The same happens at the node beside the target, whose sender is the caller's node. Class: a cancellation that is only seen if another goroutine is scheduled first.

Change: right before a request is sent to a node or to the target, the node looks whether the connection on which it came is closed (MSG_PEEK, package peek, taken out of hop). If so, nothing is sent, and a slot that was granted is given back without counting as a run. gage_senders_left_total{Before} counts them.

Evidence: TestRequestsOfLeftCallersAreNotSentOn.

Cost: one system call a hop.

--- a/gage/state/slots/slots.go
+++ b/gage/state/slots/slots.go
@@ -225,6 +225,15 @@
 	g.Advance(now)
 }
 
+// Cancel ends a granted request that was not sent to the target.
+func (g *Gate) Cancel(now time.Time) {
+	g.inFlight--
+	if g.Cold(now) {
+		g.coldTokens = min(coldBurst, g.coldTokens+1)
+	}
+	g.Advance(now)
+}
+
 // RefuseAll refuses all waiting requests.
 func (g *Gate) RefuseAll(now time.Time, reason gage.Reason) {
 	for i := range g.queues {
--- a/gage/state/slots/slots_test.go
+++ b/gage/state/slots/slots_test.go
@@ -193,3 +193,22 @@
 		runningTicket = next
 	}
 }
+
+// A request that was granted and not sent frees its slot, counts as no run, and leaves a
+// cold target its token.
+func TestCanceledGrantsCostNothing(t *testing.T) {
+	g := slots.New(start, 1)
+	g.ColdRate = 1
+	g.SetCold(start, at(60_000))
+	granted := 0
+	for range 20 {
+		ticket := g.Submit(at(1), slots.Request{WaitUntil: at(1000)})
+		if isGranted(ticket) {
+			granted++
+			g.Cancel(at(1))
+		}
+	}
+	assert.Equal(t, granted, 20)
+	assert.Equal(t, g.InFlight(), 0)
+	assert.Equal(t, g.MeanRunTime(), time.Duration(0))
+}
--- a/gage/transport/hop/pool.go
+++ b/gage/transport/hop/pool.go
@@ -6,9 +6,10 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"syscall"
 	"time"
+
+	"github.com/greengagewind/greengagewind/gage/transport/peek"
 )
 
 // optionTCPUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
@@ -103,21 +104,7 @@
 	if k.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := k.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isIdle := false
-	err = raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isIdle = errors.Is(peekErr, syscall.EAGAIN)
-	})
-	return err == nil && isIdle
+	return peek.Conn(k.Conn) == peek.Idle
 }
 
 // responseBody returns its connection to the pool when it has been read to the
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -376,7 +376,7 @@
 // mayTryAnother reports whether a request may be sent to another target after
 // the result r.
 func (m *Mesh) mayTryAnother(ctx context.Context, q *request, r *attemptResult) bool {
-	if ctx.Err() != nil || q.bodyRest != nil {
+	if ctx.Err() != nil || q.bodyRest != nil || r.reason == gage.ReasonCanceled {
 		return false
 	}
 	switch r.outcome {
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -67,6 +67,10 @@
 	if w.isNested {
 		header[headerNested] = []string{"1"}
 	}
+	if hasLeft(ctx) {
+		m.stats.leftBeforeForward.Inc()
+		return canceledBeforeSend(ctx)
+	}
 	response, err := m.peerClient.Do(ctx, now, address, w.hopRequest(header))
 	if err != nil {
 		return sendFailure(ctx, err)
--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -471,6 +471,13 @@
 	}
 }
 
+// cancel ends a request that was admitted and has not been sent to the target.
+func (t *localTarget) cancel(now time.Time, gate *slots.Gate) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	gate.Cancel(now)
+}
+
 // finish ends a request that was admitted. Answered is true if the target sent a
 // response.
 func (t *localTarget) finish(now time.Time, gate *slots.Gate, ticket *slots.Ticket, answered bool) {
--- a/gage/transport/mesh/telemetry.go
+++ b/gage/transport/mesh/telemetry.go
@@ -139,18 +139,24 @@
 	packetFailures *metrics.Counter
 	targetDials    *metrics.Counter
 	identityChecks *metrics.Counter
-	latency        *metrics.Histogram
-	queueWait      *metrics.Histogram
+	// leftBeforeForward and leftBeforeRun count the requests whose sender had left when
+	// they were to be sent to another node or to the target.
+	leftBeforeForward *metrics.Counter
+	leftBeforeRun     *metrics.Counter
+	latency           *metrics.Histogram
+	queueWait         *metrics.Histogram
 }
 
 func newStats(set *metrics.Set) *stats {
 	return &stats{
-		set:            set,
-		packetFailures: set.NewCounter("gage_states_failed_total"),
-		targetDials:    set.NewCounter("gage_target_connections_total"),
-		identityChecks: set.NewCounter("gage_target_checks_total"),
-		latency:        set.NewHistogram("gage_request_seconds"),
-		queueWait:      set.NewHistogram("gage_queue_seconds"),
+		set:               set,
+		packetFailures:    set.NewCounter("gage_states_failed_total"),
+		targetDials:       set.NewCounter("gage_target_connections_total"),
+		identityChecks:    set.NewCounter("gage_target_checks_total"),
+		leftBeforeForward: set.NewCounter(`gage_senders_left_total{Before="Forward"}`),
+		leftBeforeRun:     set.NewCounter(`gage_senders_left_total{Before="Run"}`),
+		latency:           set.NewHistogram("gage_request_seconds"),
+		queueWait:         set.NewHistogram("gage_queue_seconds"),
 	}
 }
 
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -105,6 +105,15 @@
 	return attemptResult{outcome: gage.OutcomeNotRun, reason: reason, detail: detail}
 }
 
+// canceledBeforeSend returns the result of a request that was not sent, because its sender
+// has left or its deadline has passed.
+func canceledBeforeSend(ctx context.Context) attemptResult {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return notRun(gage.ReasonDeadline, "")
+	}
+	return notRun(gage.ReasonCanceled, "the sender of the request has closed its connection")
+}
+
 func outcomeUnknown(reason gage.Reason, detail string) attemptResult {
 	return attemptResult{outcome: gage.OutcomeUnknown, reason: reason, detail: detail}
 }
@@ -122,6 +131,11 @@
 	admittedAt := m.options.Clock.Now()
 	m.stats.queueWait.Update(admittedAt.Sub(now).Seconds())
 	now = admittedAt
+	if hasLeft(ctx) {
+		m.stats.leftBeforeRun.Inc()
+		m.localTarget.cancel(now, gate)
+		return canceledBeforeSend(ctx)
+	}
 	response, err := m.localTarget.client.Do(ctx, now, m.options.Self.TargetAddress, w.hopRequest(m.targetHeader(now, w)))
 	r := m.targetResult(ctx, response, err)
 	if r.status >= http.StatusInternalServerError {
--- a/stand/plat/nodes_test.go
+++ b/stand/plat/nodes_test.go
@@ -466,3 +466,53 @@
 	}
 	f.waitForAll("every node serves", func(i int) bool { return f.send(i, "GET", "/look/1", key).status == 200 })
 }
+
+// Requests were sent on although their callers had left: the node read the request and the
+// close of its connection at the same time, and the request ran first.
+func TestRequestsOfLeftCallersAreNotSentOn(t *testing.T) {
+	t.Parallel()
+	const repetitions = 20
+	f := newFleet(t)
+	booking := f.vms[2]
+	booking.target.ServiceTime = 60 * time.Millisecond
+	forwarded := "Gage-Target: i-vm-2\r\nGage-Caller: search\r\nGage-Route: inner\r\nGage-Rank: 1\r\nGage-Deadline: 4000\r\nGage-Ends: 4000\r\nGage-Wait: 4000\r\n"
+	cases := map[string]struct{ address, idHeader, header string }{
+		"at the caller's node":           {f.vms[0].settings.CallerAddress, "X-Request-Id", ""},
+		"at the node beside the target":  {booking.settings.CallerAddress, "X-Request-Id", ""},
+		"forwarded to the target's node": {booking.settings.Self.PeerAddress, "Gage-Id", forwarded},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var ran []string
+			for i := range repetitions {
+				stayed, left := fmt.Sprint(name, i, "-stayed"), fmt.Sprint(name, i, "-left")
+				f.sendPairAndLeave(t, c.address, c.idHeader, c.header, stayed, left)
+				if len(f.runs(left)) > 0 {
+					ran = append(ran, left)
+				}
+			}
+			assert.Equal(t, len(ran), 0, "%d of %d ran", len(ran), repetitions)
+		})
+	}
+}
+
+// sendPairAndLeave sends two requests on one connection, the second while the first runs,
+// closes the connection for writing, and reads until the node closes it. The node reads the
+// second request when it has answered the first, long after the close has arrived.
+func (f *fleet) sendPairAndLeave(t *testing.T, address, idHeader, header, first, second string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	for _, id := range []string{first, second} {
+		_, err := io.WriteString(c, "GET /inner/1 HTTP/1.1\r\nHost: "+host+"\r\n"+idHeader+": "+id+"\r\n"+header+"\r\n")
+		assert.NilError(t, err)
+		if id == first {
+			f.waitFor("the first request runs", func() bool { return len(f.runs(first)) == 1 })
+		}
+	}
+	assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(settleTimeout)))
+	_, err = io.ReadAll(c)
+	assert.NilError(t, err)
+}
