Let the test of the cold rate grant requests

TestColdRateHoldsInEverySecond submitted requests whose wait ended at once, so that the gate refused all of them and the test checked nothing. They may now wait for a millisecond, and a run without a grant fails. The bound is the same.

--- a/gage/state/slots/slots_test.go
+++ b/gage/state/slots/slots_test.go
@@ -108,7 +108,7 @@
 				g.SetCold(at(now), at(now+10_000))
 			}
 			for range rapid.IntRange(1, 8).Draw(t, "asks") {
-				ticket := g.Submit(at(now), slots.Request{Nested: true, WaitUntil: at(now)})
+				ticket := g.Submit(at(now), slots.Request{Nested: true, WaitUntil: at(now + 1)})
 				g.Advance(at(now))
 				if isGranted(ticket) {
 					grantTimes = append(grantTimes, now)
@@ -116,6 +116,9 @@
 				}
 			}
 		}
+		if len(grantTimes) == 0 {
+			t.Fatalf("no request was granted")
+		}
 		for i := range grantTimes {
 			grants := 0
 			for j := i; j < len(grantTimes) && grantTimes[j] < grantTimes[i]+1000; j++ {
