Keep a target to the rate limit that it names

What callers saw: nothing yet. Targets in need named Server-Limit in their responses and got far more requests.

Class: a signal of the target that no part of the node is responsible for.

Change: the node beside the target reads the header of each response of the present target process. It is the only way to the target, so a token bucket in its gate keeps the limit for all nodes together, without a message. Nested requests and important ones get tokens first; a request whose wait would be in vain is refused at once, as not run, with a Retry-After. One timer a target advances the gate when the next token is due, also while the target is cold, in place of a ticker for each waiting request. The concurrency that other nodes are told is what the rate can fill, so that they prefer other targets. The limit ends with the first response without it, half a second after the last one with it, and with the process. What is not a number of 0 or more is ignored and logged; of several the lowest counts; a limit of 0 lets a request pass every two seconds, since only its response can end the limit. Responses of another process (421) and late copies count for nothing.

--- a/gage/mesh.go
+++ b/gage/mesh.go
@@ -20,7 +20,8 @@
 	// ColdRate is the target's rate limit while it is cold, in requests per
 	// second.
 	ColdRate float64
-	// Limit is the concurrency limit, at least 1.
+	// Limit is how many requests the target is expected to run at a time when all its
+	// capacity is used, at least 1.
 	Limit int
 	// InFlight is the number of requests that run at the target.
 	InFlight int
--- a/gage/state/slots/slots.go
+++ b/gage/state/slots/slots.go
@@ -1,6 +1,6 @@
 // Package slots schedules the requests at the target on the node's VM. It limits
-// their concurrency to the slots of the target and their rate while the target
-// is cold. Under overload it first runs the requests whose refusal would waste
+// their concurrency to the slots of the target, and their rate while the target is cold
+// or has set a limit itself. Under overload it first runs the requests whose refusal would waste
 // the most work.
 package slots
 
@@ -31,6 +31,13 @@
 	maxWaiting = 1024
 	// runTimeGain is the weight of one run time in the moving average.
 	runTimeGain = 0.05
+	// The rate limit of a target has a burst of rateBurst requests, and of those of
+	// rateBurstTime at its rate.
+	rateBurst     = 3
+	rateBurstTime = 100 * time.Millisecond
+	// minRate is the lowest rate in requests per second. A target tells its limit in its
+	// responses only, so some requests must go on.
+	minRate = 0.5
 	// delayedAfter is the wait above which a request counts as delayed.
 	delayedAfter = 15 * time.Millisecond
 	// pressureHalfLife is the half-life of the counts from which the pressure is
@@ -78,7 +85,12 @@
 	coldUntil  time.Time
 	coldTokens float64
 	refilledAt time.Time
-	inFlight   int
+	// rate is the limit that the target has set, in requests per second; +Inf if there
+	// is none.
+	rate           float64
+	rateTokens     float64
+	rateRefilledAt time.Time
+	inFlight       int
 	// queues holds the waiting requests: nested ones first, then by rank.
 	queues  [queueCount][]*Ticket
 	waiting int
@@ -103,7 +115,58 @@
 
 // New returns the gate of a warm target. A limit below 1 counts as 1.
 func New(now time.Time, limit int) *Gate {
-	return &Gate{Limit: max(limit, 1), refilledAt: now}
+	return &Gate{Limit: max(limit, 1), refilledAt: now, rate: math.Inf(1), rateRefilledAt: now}
+}
+
+// SetRate sets the limit that the target has set, in requests per second, 0 or more.
+// +Inf removes it.
+func (g *Gate) SetRate(now time.Time, rate float64) {
+	g.refillRate(now)
+	wasLimited := g.RateLimited()
+	g.rate = max(rate, minRate)
+	if g.RateLimited() && !wasLimited {
+		g.rateTokens = math.Inf(1)
+	}
+	g.refillRate(now)
+	g.Advance(now)
+}
+
+// RateLimited reports whether the target has set a limit of its rate.
+func (g *Gate) RateLimited() bool { return !math.IsInf(g.rate, 1) }
+
+// refillRate adds the tokens of the time since the last call.
+func (g *Gate) refillRate(now time.Time) {
+	elapsed := max(now.Sub(g.rateRefilledAt), 0)
+	g.rateRefilledAt = now
+	if !g.RateLimited() {
+		return
+	}
+	g.rateTokens = min(g.rateTokens+g.rate*elapsed.Seconds(), rateBurst+g.rate*rateBurstTime.Seconds())
+}
+
+// Concurrency returns how many requests the target is expected to run at a time when all
+// its capacity is used, at least 1: its slots, or those that its rate can fill.
+func (g *Gate) Concurrency() int {
+	if !g.RateLimited() || g.meanRunTime == 0 {
+		return g.Limit
+	}
+	return max(1, int(min(float64(g.Limit), math.Ceil(g.rate*g.meanRunTime.Seconds()))))
+}
+
+// NextToken returns the time until a request that waits for a token of a rate can run.
+// It returns false if none waits for one.
+func (g *Gate) NextToken(now time.Time) (wait time.Duration, waits bool) {
+	if g.waiting == 0 || g.inFlight >= g.Limit {
+		return 0, false
+	}
+	missing := 0.0
+	if g.Cold(now) {
+		missing = (1 - g.coldTokens) / g.ColdRate
+	}
+	if g.RateLimited() {
+		missing = max(missing, (1-g.rateTokens)/g.rate)
+	}
+	return time.Duration(max(missing, 0) * float64(time.Second)), true
 }
 
 // SetCold sets when the cold start of the target ends. A time that has passed
@@ -185,6 +248,16 @@
 	return 1 + min(max(request.Rank, 0), queueCount-2)
 }
 
+// waitingUpTo returns the number of requests that wait in a queue and in those that are
+// served before it.
+func (g *Gate) waitingUpTo(queue int) int {
+	n := 0
+	for _, tickets := range g.queues[:queue+1] {
+		n += len(tickets)
+	}
+	return n
+}
+
 // Submit adds a request. It may be granted or refused at once.
 func (g *Gate) Submit(now time.Time, request Request) *Ticket {
 	t := &Ticket{Request: request, Decided: make(chan struct{}), submittedAt: now}
@@ -193,6 +266,11 @@
 		return t
 	}
 	queue := queueIndex(request)
+	if g.RateLimited() && !g.canStart(now) && float64(g.waitingUpTo(queue)) >= g.rate*request.WaitUntil.Sub(now).Seconds() {
+		// The wait would be in vain.
+		g.refuse(now, t, gage.ReasonOverload)
+		return t
+	}
 	g.queues[queue] = append(g.queues[queue], t)
 	g.waiting++
 	g.Advance(now)
@@ -228,9 +306,7 @@
 // Cancel ends a granted request that was not sent to the target.
 func (g *Gate) Cancel(now time.Time) {
 	g.inFlight--
-	if g.Cold(now) {
-		g.coldTokens = min(coldBurst, g.coldTokens+1)
-	}
+	g.moveTokens(now, 1)
 	g.Advance(now)
 }
 
@@ -259,12 +335,15 @@
 	}
 }
 
-// tryStart reports whether one more request may start, and takes a token if the
-// target is cold.
-func (g *Gate) tryStart(now time.Time) bool {
+// canStart reports whether one more request may start.
+func (g *Gate) canStart(now time.Time) bool {
 	if g.inFlight >= g.Limit {
 		return false
 	}
+	g.refillRate(now)
+	if g.RateLimited() && g.rateTokens < 1 {
+		return false
+	}
 	if !g.Cold(now) {
 		return true
 	}
@@ -272,13 +351,29 @@
 		g.coldTokens = min(coldBurst, g.coldTokens+g.ColdRate*elapsed.Seconds())
 		g.refilledAt = now
 	}
-	if g.coldTokens < 1 {
+	return g.coldTokens >= 1
+}
+
+// tryStart reports whether one more request may start, and takes the tokens that it
+// needs.
+func (g *Gate) tryStart(now time.Time) bool {
+	if !g.canStart(now) {
 		return false
 	}
-	g.coldTokens--
+	g.moveTokens(now, -1)
 	return true
 }
 
+// moveTokens adds tokens to the rates that apply.
+func (g *Gate) moveTokens(now time.Time, tokens float64) {
+	if g.RateLimited() {
+		g.rateTokens += tokens
+	}
+	if g.Cold(now) {
+		g.coldTokens = min(coldBurst, g.coldTokens+tokens)
+	}
+}
+
 // popNext removes and returns the request that runs next.
 func (g *Gate) popNext(now time.Time) *Ticket {
 	firstQueue := 0
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -55,6 +55,9 @@
 	// TargetID names the header with the ID of the target process, in responses
 	// to health checks.
 	TargetID string
+	// RateLimit names the header with the requests per second that the target takes from
+	// all nodes together, as long as its responses have the header.
+	RateLimit string
 	// ColdMillis names the header with the time for which the target stays cold,
 	// in milliseconds, in responses to health checks.
 	ColdMillis string
--- /dev/null
+++ b/gage/transport/mesh/notices.go
@@ -0,0 +1,85 @@
+package mesh
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/greengagewind/greengagewind/gage/state/slots"
+)
+
+// A notice is what a target says of itself in the header of a response: that it limits
+// its rate.
+
+// handleNotices applies the notices in a response to a request that gate admitted at
+// admittedAt, unless it may be that of an earlier target process.
+func (t *localTarget) handleNotices(now, admittedAt time.Time, gate *slots.Gate, header http.Header) {
+	names := t.mesh.options.HeaderNames
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if gate != t.gate || admittedAt.Before(t.adoptedAt) {
+		return
+	}
+	if header[names.RateLimit] == nil && !gate.RateLimited() {
+		return
+	}
+	wasLimited := gate.RateLimited()
+	t.readNotices(now, header)
+	t.advanceAtNextToken(now)
+	if gate.RateLimited() != wasLimited {
+		t.mesh.broadcastSoon()
+	}
+}
+
+// readNotices applies the notices in a response of the present target process. The caller
+// must hold mu.
+func (t *localTarget) readNotices(now time.Time, header http.Header) {
+	names := t.mesh.options.HeaderNames
+	rate, isNamed, err := parseRateLimit(header[names.RateLimit])
+	switch {
+	case err != nil:
+		t.mesh.log.warn("RateLimitNotRead", zap.String("Target", t.id), zap.Error(err))
+	case isNamed:
+		t.rateLimitedAt = now
+		t.setRate(now, rate)
+	case now.Sub(t.rateLimitedAt) > rateLimitHold:
+		t.setRate(now, math.Inf(1))
+	}
+}
+
+// setRate sets the rate limit of the gate. It logs when a limit begins and ends.
+func (t *localTarget) setRate(now time.Time, rate float64) {
+	wasLimited := t.gate.RateLimited()
+	t.gate.SetRate(now, rate)
+	if t.gate.RateLimited() != wasLimited {
+		t.mesh.options.Logger.Info("TargetRateChanged", zap.String("Target", t.id), zap.Float64("Rate", rate), zap.Bool("Limited", !wasLimited))
+	}
+}
+
+// parseRateLimit returns the lowest of the limits in the lines of a header, in requests
+// per second. isNamed is false if there is none. It returns an error if none of those
+// given is a number of 0 or more.
+func parseRateLimit(lines []string) (rate float64, isNamed bool, err error) {
+	rate = math.Inf(1)
+	for _, line := range lines {
+		for _, text := range strings.Split(line, ",") {
+			value, parseErr := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			if parseErr != nil || !(value >= 0) || math.IsInf(value, 1) {
+				if err == nil {
+					err = fmt.Errorf("the rate limit %.40q is not a number of 0 or more", text)
+				}
+				continue
+			}
+			rate, isNamed = min(rate, value), true
+		}
+	}
+	if isNamed {
+		err = nil
+	}
+	return rate, isNamed, err
+}
--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -39,9 +40,13 @@
 	// Bounds.ColdOverage lets a cold target receive more requests than its cold
 	// rate. The gate uses only coldOverageShare of this excess.
 	coldOverageShare = 0.4
-	// coldPollInterval is how often a request that waits for a cold target
-	// advances the gate, which then may grant it.
-	coldPollInterval = 5 * time.Millisecond
+	// minTokenWait bounds how often the gate is advanced for requests that wait for a
+	// token.
+	minTokenWait = time.Millisecond
+	// rateLimitHold is how long the target's rate limit applies after the last response
+	// that named it. Responses overtake each other, so that one without the limit may be
+	// older.
+	rateLimitHold = 500 * time.Millisecond
 )
 
 // Heartbeat is the state that a target reports about itself.
@@ -85,6 +90,16 @@
 	identityConfirmed bool
 	// zoneClosed is true while the zone of this VM is out of service.
 	zoneClosed bool
+	// rateLimitedAt is when a response last named the target's rate limit.
+	rateLimitedAt time.Time
+	// adoptedAt is when this node learned of the present target process. Responses to
+	// requests that were admitted before may be of an earlier one.
+	adoptedAt time.Time
+	// reportedConcurrency is the concurrency that other nodes are told while the rate is
+	// limited.
+	reportedConcurrency int
+	// isTokenTimerSet is true while a timer is to advance the gate.
+	isTokenTimerSet bool
 	// progressAt is when the target last sent a response, or when a request was
 	// last submitted while none was in flight.
 	progressAt time.Time
@@ -185,9 +200,10 @@
 		t.gate = slots.New(now, limit)
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
+	t.gate.SetRate(now, math.Inf(1))
 	t.id, t.sequence, t.phase, t.hasReported = id, 0, gage.TargetServing, false
 	t.startedAt = max(startedAt, t.startedAt)
-	t.progressAt = now
+	t.progressAt, t.adoptedAt = now, now
 }
 
 func (t *localTarget) setPhase(now time.Time, phase gage.TargetPhase) {
@@ -270,7 +286,7 @@
 		Phase:         t.phase,
 		ColdRemaining: t.gate.ColdRemaining(now),
 		ColdRate:      t.gate.ColdRate,
-		Limit:         t.gate.Limit,
+		Limit:         t.concurrency(),
 		InFlight:      t.gate.InFlight(),
 		Queued:        t.gate.Waiting(),
 		Pressure:      t.gate.Pressure(now),
@@ -278,6 +294,21 @@
 	}
 }
 
+// concurrencyStep is the smallest relative change of the concurrency of a target with a
+// rate limit that other nodes are told. Every change makes nodes send the whole state.
+const concurrencyStep = 0.25
+
+// concurrency returns how many requests the target is expected to run at a time when all
+// its capacity is used. The caller must hold mu.
+func (t *localTarget) concurrency() int {
+	c := t.gate.Concurrency()
+	change := math.Abs(float64(c - t.reportedConcurrency))
+	if !t.gate.RateLimited() || change > concurrencyStep*float64(t.reportedConcurrency) {
+		t.reportedConcurrency = c
+	}
+	return t.reportedConcurrency
+}
+
 // markSuspect refuses all requests to the target until an identity check or a
 // heartbeat has confirmed its identity. It does nothing if gate belongs to an
 // earlier target process.
@@ -363,13 +394,13 @@
 		t.mesh.log.info("TargetNotChecked", zap.Int("Status", response.Status))
 		return
 	}
-	t.handleIdentity(t.mesh.options.Clock.Now(), targetID, response.Status, response.Header.Get(names.ColdMillis))
+	t.handleIdentity(t.mesh.options.Clock.Now(), targetID, response.Status, response.Header)
 }
 
 // handleIdentity records the result of an identity check. The health that its status
 // reports may be wrong, and is ignored for a process that has sent a heartbeat. Any
 // other process may be leaving: it may have said so before this node started.
-func (t *localTarget) handleIdentity(now time.Time, id string, status int, coldMillis string) {
+func (t *localTarget) handleIdentity(now time.Time, id string, status int, header http.Header) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.identityConfirmed {
@@ -379,11 +410,13 @@
 		t.mesh.log.info("TargetNotChecked", zap.String("Target", id), zap.Int("Status", status), zap.Bool("HasReported", false))
 		return
 	}
+	coldMillis := header.Get(t.mesh.options.HeaderNames.ColdMillis)
 	parsedColdMillis, err := strconv.ParseFloat(coldMillis, 64)
 	if coldMillis != "" && err != nil {
 		t.mesh.log.warn("ColdTimeNotRead", zap.String("Value", coldMillis), zap.Error(err))
 	}
 	t.adoptIdentity(now, id, t.startedAt)
+	t.readNotices(now, header)
 	t.identityConfirmed, t.progressAt = true, now
 	t.updateColdRate()
 	t.gate.SetCold(now, now.Add(time.Duration(parsedColdMillis*float64(time.Millisecond))))
@@ -404,9 +437,9 @@
 		t.progressAt = now
 	}
 	ticket := gate.Submit(now, slots.Request{Nested: w.isNested, Rank: w.rank, WaitUntil: w.waitUntil, ChainDeadline: w.chainDeadline})
-	isCold := gate.Cold(now)
+	t.advanceAtNextToken(now)
 	t.mu.Unlock()
-	t.waitForDecision(ctx, gate, ticket, isCold)
+	t.waitForDecision(ctx, gate, ticket)
 	if ticket.RefusalReason != gage.ReasonNone {
 		return nil, nil, ticket.RefusalReason
 	}
@@ -431,7 +464,7 @@
 
 // waitForDecision returns when the ticket is granted or refused. It refuses the
 // ticket itself at the ticket's WaitUntil and when ctx ends.
-func (t *localTarget) waitForDecision(ctx context.Context, gate *slots.Gate, ticket *slots.Ticket, isCold bool) {
+func (t *localTarget) waitForDecision(ctx context.Context, gate *slots.Gate, ticket *slots.Ticket) {
 	select {
 	case <-ticket.Decided:
 		return
@@ -439,36 +472,39 @@
 	}
 	waitTimer := time.NewTimer(max(ticket.WaitUntil.Sub(t.mesh.options.Clock.Now()), 0))
 	defer waitTimer.Stop()
-	var tick <-chan time.Time
-	if isCold {
-		ticker := time.NewTicker(coldPollInterval)
-		defer ticker.Stop()
-		tick = ticker.C
-	}
-	for {
-		reason := gage.ReasonNone
-		select {
-		case <-ticket.Decided:
-			return
-		case <-tick:
-			t.mu.Lock()
-			gate.Advance(t.mesh.options.Clock.Now())
-			t.mu.Unlock()
-			continue
-		case <-waitTimer.C:
-			reason = gage.ReasonOverload
-		case <-ctx.Done():
-			reason = gage.ReasonDeadline
-			if errors.Is(ctx.Err(), context.Canceled) {
-				reason = gage.ReasonCanceled
-			}
+	reason := gage.ReasonOverload
+	select {
+	case <-ticket.Decided:
+		return
+	case <-waitTimer.C:
+	case <-ctx.Done():
+		reason = gage.ReasonDeadline
+		if errors.Is(ctx.Err(), context.Canceled) {
+			reason = gage.ReasonCanceled
 		}
-		t.mu.Lock()
-		gate.Withdraw(t.mesh.options.Clock.Now(), ticket, reason)
-		t.mu.Unlock()
-		<-ticket.Decided
+	}
+	t.mu.Lock()
+	gate.Withdraw(t.mesh.options.Clock.Now(), ticket, reason)
+	t.mu.Unlock()
+	<-ticket.Decided
+}
+
+// advanceAtNextToken sets a timer that advances the gate when a waiting request gets a
+// token, unless there is one. The caller must hold mu.
+func (t *localTarget) advanceAtNextToken(now time.Time) {
+	wait, waits := t.gate.NextToken(now)
+	if !waits || t.isTokenTimerSet {
 		return
 	}
+	t.isTokenTimerSet = true
+	time.AfterFunc(max(wait, minTokenWait), func() {
+		now := t.mesh.options.Clock.Now()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.isTokenTimerSet = false
+		t.gate.Advance(now)
+		t.advanceAtNextToken(now)
+	})
 }
 
 // cancel ends a request that was admitted and has not been sent to the target.
@@ -476,6 +512,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	gate.Cancel(now)
+	t.advanceAtNextToken(now)
 }
 
 // finish ends a request that was admitted. Answered is true if the target sent a
@@ -484,6 +521,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	gate.Done(now, ticket)
+	t.advanceAtNextToken(now)
 	if answered {
 		t.progressAt = now
 	}
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -137,6 +137,9 @@
 		return canceledBeforeSend(ctx)
 	}
 	response, err := m.localTarget.client.Do(ctx, now, m.options.Self.TargetAddress, w.hopRequest(m.targetHeader(now, w)))
+	if err == nil && response.Status != http.StatusMisdirectedRequest {
+		m.localTarget.handleNotices(m.options.Clock.Now(), admittedAt, gate, response.Header)
+	}
 	r := m.targetResult(ctx, response, err)
 	if r.status >= http.StatusInternalServerError {
 		r.overloadedService = m.calls.overloadedSince(now)
--- /dev/null
+++ b/stand/plat/notices_test.go
@@ -0,0 +1,182 @@
+package plat_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagewind/greengagewind/stand/plat"
+)
+
+// sendSteadily sends requests for the service "booking" to all nodes in turn, rate a
+// second, for a time. It returns how many were answered with 200.
+func (f *fleet) sendSteadily(rate int, d time.Duration) int {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	served := 0
+	interval := time.Second / time.Duration(rate)
+	start := time.Now()
+	for i := 0; time.Duration(i)*interval < d; i++ {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * interval)))
+		running.Go(func() {
+			if f.send(i%len(f.vms), "GET", "/inner/1", "").status == 200 {
+				mu.Lock()
+				defer mu.Unlock()
+				served++
+			}
+		})
+	}
+	running.Wait()
+	return served
+}
+
+// mostArrivals returns the most requests that reached a target after a time within any
+// interval of the given length.
+func mostArrivals(target *plat.Target, after time.Time, interval time.Duration) int {
+	arrivals := target.Arrivals()
+	most := 0
+	for i := range arrivals {
+		if arrivals[i].At.Before(after) {
+			continue
+		}
+		n := 0
+		for j := i; j < len(arrivals) && arrivals[j].At.Sub(arrivals[i].At) < interval; j++ {
+			n++
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// A target got far more requests than the limit that it names in its responses. The limit
+// is for the requests of all nodes together, and ends when the target no longer names it.
+func TestTargetGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	t.Parallel()
+	const limit, demand, window = 30, 150, 4 * time.Second
+	f := newFleet(t)
+	booking := f.vms[2].target
+	booking.SetHeader("Server-Limit", "30.0")
+	assert.Equal(t, f.send(0, "GET", "/inner/1", "").status, 200)
+	named := time.Now()
+	served := f.sendSteadily(demand, 6*time.Second)
+	most := mostArrivals(booking, named, window)
+	assert.Assert(t, most <= limit*4*3/2+5, "%d in 4 s", most)
+	assert.Assert(t, served > limit*6*8/10, "%d served in 6 s", served)
+
+	booking.SetHeader("Server-Limit")
+	f.waitFor("the limit ends", func() bool { return f.sendSteadily(demand, 200*time.Millisecond) >= demand/5*9/10 })
+}
+
+// Requests beyond a target's limit are refused as not run, with a time to come back, and
+// soon, since it is known that their wait would be in vain.
+func TestRequestsBeyondTheLimitAreRefusedSoon(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	booking := f.vms[2].target
+	booking.SetHeader("Server-Limit", "2")
+	assert.Equal(t, f.send(0, "POST", "/book/1", key).status, 200)
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	refused := 0
+	for i := range 40 {
+		running.Go(func() {
+			a := f.send(i%3, "POST", "/book/1", key)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == 200 {
+				return
+			}
+			refused++
+			assert.Check(t, a.status == 503 && a.header.Get("Retry-After") != "", "%d", a.status)
+			assert.Check(t, len(f.runs(a.header.Get("X-Request-Id"))) == 0)
+		})
+	}
+	running.Wait()
+	assert.Assert(t, refused >= 30, "%d", refused)
+}
+
+// mayRunManyAtOnce reports whether the service "booking" serves many requests that are
+// sent within a moment.
+func (f *fleet) mayRunManyAtOnce() bool {
+	const requests = 60
+	var running sync.WaitGroup
+	served := make(chan struct{}, requests)
+	for range requests {
+		running.Go(func() {
+			a := f.sendWith(2, "GET", "/inner/1", func(r *http.Request) { r.Header.Set("X-Deadline-Milliseconds", "1000") })
+			if a.status == 200 {
+				served <- struct{}{}
+			}
+		})
+	}
+	running.Wait()
+	return len(served) == requests
+}
+
+func TestValuesOfALimit(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		values    []string
+		isLimited bool
+	}{
+		"number":                    {[]string{"4"}, true},
+		"decimal number":            {[]string{" 4.50 "}, true},
+		"zero":                      {[]string{"0"}, true},
+		"negative":                  {[]string{"-4"}, false},
+		"text":                      {[]string{"many"}, false},
+		"empty":                     {[]string{""}, false},
+		"no number":                 {[]string{"NaN"}, false},
+		"infinite":                  {[]string{"Inf"}, false},
+		"beyond what a float holds": {[]string{"1e999"}, false},
+		"huge":                      {[]string{"1e300"}, false},
+		"two headers":               {[]string{"4000", "4"}, true},
+		"two numbers":               {[]string{"4000, 4"}, true},
+		"one of two cannot be read": {[]string{"x", "4"}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.vms[2].target.SetHeader("Server-Limit", c.values...)
+			assert.Equal(t, f.send(2, "GET", "/inner/1", "").status, 200)
+			assert.Equal(t, f.mayRunManyAtOnce(), !c.isLimited)
+		})
+	}
+}
+
+// The limit of one target process does not hold for the next one at its address.
+func TestRestartedTargetHasNoLimit(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	v.target.SetHeader("Server-Limit", "1")
+	assert.Equal(t, f.send(2, "GET", "/inner/1", "").status, 200)
+	assert.Assert(t, !f.mayRunManyAtOnce())
+	v.target.SetHeader("Server-Limit")
+	time.Sleep(5 * time.Millisecond)
+	assert.NilError(t, v.target.Restart())
+	assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+	assert.Assert(t, f.mayRunManyAtOnce())
+}
+
+// A response of another process, which did not run the request, limits nothing.
+func TestNoticesOfAnotherProcessAreIgnored(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	v.target.Stop()
+	other := &plat.Target{ID: "i-other", Service: "search", Slots: 20, ServiceTime: time.Millisecond}
+	assert.NilError(t, other.StartAt(v.target.Address))
+	other.SetHeader("Server-Limit", "1")
+	for range 5 {
+		assert.Equal(t, f.send(2, "GET", "/inner/1", "").status, 503)
+	}
+	other.Stop()
+	time.Sleep(5 * time.Millisecond)
+	assert.NilError(t, v.target.Restart())
+	f.waitFor("the target serves again", func() bool { return f.send(2, "GET", "/inner/1", "").status == 200 })
+	f.waitFor("many requests run", f.mayRunManyAtOnce)
+}
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -93,6 +93,8 @@
 	startedMillis int64
 	server        *http.Server
 	canceledRuns  int
+	// headers are added to each response, also to health checks.
+	headers http.Header
 	// nestedCalls counts the nested calls, to make their request IDs unique.
 	nestedCalls int
 }
@@ -144,6 +146,19 @@
 	t.fault = fault
 }
 
+// SetHeader adds a header with the given values to all later responses, or none if there
+// are no values.
+func (t *Target) SetHeader(name string, values ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	headers := t.headers.Clone()
+	if headers == nil {
+		headers = make(http.Header)
+	}
+	headers[name] = values
+	t.headers = headers
+}
+
 // Runs returns a copy of all runs so far, in the order they began.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
@@ -168,6 +183,7 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	w = &headerWriter{ResponseWriter: w, target: t}
 	if r.URL.Path == "/health" {
 		t.serveHealth(w)
 		return
@@ -212,6 +228,36 @@
 	t.writeAnswer(w, r, fault)
 }
 
+// headerWriter adds the headers of its target when it writes the header of a response.
+type headerWriter struct {
+	http.ResponseWriter
+	target  *Target
+	written bool
+}
+
+// Unwrap returns the writer of the server.
+func (w *headerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader writes the header of the response.
+func (w *headerWriter) WriteHeader(status int) {
+	w.target.mu.Lock()
+	headers := w.target.headers
+	w.target.mu.Unlock()
+	for name, values := range headers {
+		w.Header()[name] = values
+	}
+	w.written = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body.
+func (w *headerWriter) Write(p []byte) (int, error) {
+	if !w.written {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
 // writeWithoutEnd writes text again and again until the connection is closed.
 func writeWithoutEnd(w io.Writer, text string) {
 	block := []byte(strings.Repeat(text, 1<<14))
@@ -322,12 +368,14 @@
 
 func (t *Target) serveHealth(w http.ResponseWriter) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	w.Header().Set("X-Instance-Id", t.ID)
-	w.Header().Set("X-Cold-Milliseconds", strconv.FormatInt(t.remainingCold().Milliseconds(), 10))
+	coldFor, status := t.remainingCold(), http.StatusOK
 	if t.isDraining {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
+	t.mu.Unlock()
+	w.Header().Set("X-Instance-Id", t.ID)
+	w.Header().Set("X-Cold-Milliseconds", strconv.FormatInt(coldFor.Milliseconds(), 10))
+	w.WriteHeader(status)
 }
 
 func (t *Target) remainingCold() time.Duration { return max(time.Until(t.WarmAt), 0) }
