Send nothing to a target that says in its responses that it leaves

What callers saw: nothing yet. A target that leaves says so with Server-Leaving in all its responses; requests went on until a heartbeat told the same, or its deregistration.

Cause: no code read the header; the code knew leaving from heartbeats alone. Class: as for the rate limit.

Change: the node beside the target takes the first such response as the target's drain. That holds for this process of the target: a heartbeat that says otherwise may have been sent before. The caller's node remembers the target process too, since the node beside the target may restart while the target is still there, and tells nobody then. States now carry the start of the target's process, so that a later process with the same ID is used; the fingerprint of states leaves it out, so that nodes of both versions understand each other's loads.

--- a/gage/mesh.go
+++ b/gage/mesh.go
@@ -32,6 +32,9 @@
 	Pressure float64
 	// MakesCalls is set if the target has recently made nested calls.
 	MakesCalls bool
+	// StartedAt is the Unix time in milliseconds at which the target process started, 0
+	// if its node does not know it.
+	StartedAt int64
 }
 
 // NodeState is the state that one node reports to the others.
@@ -94,7 +97,8 @@
 
 // Fingerprint returns a hash of the fields of a state that other nodes use, except
 // those that change with every report: the fields of LoadUpdate, the remaining cold
-// time, and what the node knows of the operators' documents.
+// time, and what the node knows of the operators' documents. Target.StartedAt is left out,
+// since nodes of earlier versions do not know it.
 func (s *NodeState) Fingerprint() uint32 {
 	h := fnv.New32a()
 	t := &s.Target
--- a/gage/protocol/dgram/packet.go
+++ b/gage/protocol/dgram/packet.go
@@ -71,6 +71,7 @@
 		m.Target = &Target{
 			ID: t.ID, Service: t.Service, Phase: string(t.Phase), ColdRemaining: millis(t.ColdRemaining), ColdRate: t.ColdRate,
 			Limit: uint32(t.Limit), InFlight: uint32(t.InFlight), Queued: uint32(t.Queued), Pressure: encodePressure(t.Pressure), MakesCalls: t.MakesCalls,
+			StartedAt: t.StartedAt,
 		}
 	}
 	return m
@@ -149,8 +150,9 @@
 		s.Target = gage.TargetState{
 			ID: d.name(t.GetID()), Service: d.name(t.GetService()), Phase: gage.TargetPhase(t.GetPhase()), ColdRemaining: d.age(t.GetColdRemaining()),
 			ColdRate: t.GetColdRate(), Limit: d.count(t.GetLimit()), InFlight: d.count(t.GetInFlight()), Queued: d.count(t.GetQueued()),
-			Pressure: d.pressure(t.GetPressure()), MakesCalls: t.GetMakesCalls(),
+			Pressure: d.pressure(t.GetPressure()), MakesCalls: t.GetMakesCalls(), StartedAt: t.GetStartedAt(),
 		}
+		d.require(s.Target.StartedAt >= 0)
 		d.require(s.Target.ColdRate >= 0 && !math.IsInf(s.Target.ColdRate, 1))
 		d.require(s.Target.Phase == gage.TargetServing || s.Target.Phase == gage.TargetDraining || s.Target.Phase == gage.TargetGone)
 	}
--- a/gage/protocol/dgram/packet_test.go
+++ b/gage/protocol/dgram/packet_test.go
@@ -21,7 +21,7 @@
 				VM: "vm-1", Zone: "a", Address: "10.0.0.1:7000", StartedAt: 1_800_000_000_000, Sequence: 7, Age: 20 * time.Millisecond, Leaving: true,
 				Target: gage.TargetState{
 					ID: "i-1", Service: "search", Phase: gage.TargetDraining, ColdRemaining: time.Second, ColdRate: 12.5, Limit: 50, InFlight: 3, Queued: 2,
-					Pressure: 0.25, MakesCalls: true,
+					Pressure: 0.25, MakesCalls: true, StartedAt: 1_799_999_999_000,
 				},
 				Revision: 412, ConfirmedAge: 0, FleetSize: 95, Downstream: map[string][]string{"look": {"custody", "venue"}},
 			},
@@ -70,6 +70,7 @@
 		"long name":              state(func(s *dgram.State) { s.VM = strings.Repeat("x", 1000) }),
 		"huge age":               state(func(s *dgram.State) { s.Age = math.MaxUint64 }),
 		"negative start":         state(func(s *dgram.State) { s.StartedAt = -1 }),
+		"negative target start":  state(func(s *dgram.State) { s.Target = &dgram.Target{ID: "i-1", Phase: "Serving", StartedAt: -1} }),
 		"negative revision":      state(func(s *dgram.State) { s.Revision = -1 }),
 		"unknown phase":          state(func(s *dgram.State) { s.Target.Phase = "Asleep" }),
 		"huge limit":             state(func(s *dgram.State) { s.Target.Limit = math.MaxUint32 }),
--- a/gage/state/roster/pick.go
+++ b/gage/state/roster/pick.go
@@ -95,7 +95,7 @@
 
 // acceptsRequests reports whether the target of a peer may get new requests.
 func (r *Roster) acceptsRequests(now time.Time, p *Peer) bool {
-	if p.Target.ID == "" || p.Target.Phase != gage.TargetServing || p.Leaving || r.closedZones[p.Zone] {
+	if p.Target.ID == "" || p.Target.Phase != gage.TargetServing || p.Leaving || r.closedZones[p.Zone] || r.isLeaving(p.Target) {
 		return false
 	}
 	if p.VM == r.self {
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -63,6 +63,9 @@
 	random                      *rand.Rand
 	// closedZones are the zones taken out of service.
 	closedZones map[string]bool
+	// leaving holds the target processes whose responses have said that they leave, by
+	// target ID.
+	leaving map[string]leavingTarget
 	// zones holds the last summary of each other zone.
 	zones map[string]zoneSummary
 	// callsOthers holds, for each service, whether its targets make calls to other
@@ -84,6 +87,7 @@
 	return &Roster{
 		self: self, zone: zone, random: random, peers: make(map[string]*Peer), byFingerprint: make(map[uint32]*Peer),
 		closedZones: make(map[string]bool), zones: make(map[string]zoneSummary), seenServices: make(map[string]bool),
+		leaving:     make(map[string]leavingTarget),
 		sentOwnZone: make(map[string]sentState), sentOtherZones: make(map[string]sentState),
 	}
 }
@@ -154,6 +158,7 @@
 		p.failureShare = 0
 	}
 	p.NodeState = s
+	r.learnStart(s.Target)
 	if s.Target.ID != "" {
 		r.seenServices[s.Target.Service] = true
 	}
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -329,6 +329,7 @@
 		q.expectedTarget = peer.Target.ID
 		r := m.send(ctx, peer, q)
 		m.observe(peer, r)
+		m.rememberLeaving(peer, q, &r)
 		q.mayHaveRun = q.mayHaveRun || r.outcome != gage.OutcomeNotRun
 		if r.outcome != gage.OutcomeNotRun || r.rejectedByTarget {
 			q.arrivals++
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -58,6 +58,8 @@
 	// RateLimit names the header with the requests per second that the target takes from
 	// all nodes together, as long as its responses have the header.
 	RateLimit string
+	// Leaving names the header on the responses of a target that leaves.
+	Leaving string
 	// ColdMillis names the header with the time for which the target stays cold,
 	// in milliseconds, in responses to health checks.
 	ColdMillis string
--- a/gage/transport/mesh/notices.go
+++ b/gage/transport/mesh/notices.go
@@ -10,11 +10,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/greengagewind/greengagewind/gage"
+	"github.com/greengagewind/greengagewind/gage/state/roster"
 	"github.com/greengagewind/greengagewind/gage/state/slots"
 )
 
 // A notice is what a target says of itself in the header of a response: that it limits
-// its rate.
+// its rate, or that it leaves.
 
 // handleNotices applies the notices in a response to a request that gate admitted at
 // admittedAt, unless it may be that of an earlier target process.
@@ -25,13 +27,13 @@
 	if gate != t.gate || admittedAt.Before(t.adoptedAt) {
 		return
 	}
-	if header[names.RateLimit] == nil && !gate.RateLimited() {
+	if header[names.RateLimit] == nil && header[names.Leaving] == nil && !gate.RateLimited() {
 		return
 	}
-	wasLimited := gate.RateLimited()
+	wasLeaving, wasLimited := t.saidLeaving, gate.RateLimited()
 	t.readNotices(now, header)
 	t.advanceAtNextToken(now)
-	if gate.RateLimited() != wasLimited {
+	if t.saidLeaving != wasLeaving || gate.RateLimited() != wasLimited {
 		t.mesh.broadcastSoon()
 	}
 }
@@ -50,6 +52,17 @@
 	case now.Sub(t.rateLimitedAt) > rateLimitHold:
 		t.setRate(now, math.Inf(1))
 	}
+	isLeaving, err := parseLeaving(header[names.Leaving])
+	if err != nil {
+		t.mesh.log.warn("LeavingNotRead", zap.String("Target", t.id), zap.Error(err))
+	}
+	if isLeaving && !t.saidLeaving {
+		t.saidLeaving = true
+		if t.phase == gage.TargetServing {
+			t.setPhase(now, gage.TargetDraining)
+		}
+		t.mesh.options.Logger.Info("TargetLeaving", zap.String("Target", t.id))
+	}
 }
 
 // setRate sets the rate limit of the gate. It logs when a limit begins and ends.
@@ -83,3 +96,24 @@
 	}
 	return rate, isNamed, err
 }
+
+// parseLeaving reports whether the lines of a header say that a target leaves.
+func parseLeaving(lines []string) (bool, error) {
+	isLeaving := false
+	for _, line := range lines {
+		value, err := strconv.ParseBool(strings.TrimSpace(line))
+		if err != nil {
+			return isLeaving, fmt.Errorf("the notice of leaving %.40q is neither 1 nor 0", line)
+		}
+		isLeaving = isLeaving || value
+	}
+	return isLeaving, nil
+}
+
+// rememberLeaving records a notice of leaving in a response to a request of this VM. The
+// node beside the target heeds it too, but it may restart.
+func (m *Mesh) rememberLeaving(peer roster.Peer, q *request, r *attemptResult) {
+	if isLeaving, _ := parseLeaving(r.header[m.options.HeaderNames.Leaving]); isLeaving {
+		m.roster.TargetLeaves(m.options.Clock.Now(), peer.VM, q.expectedTarget)
+	}
+}
--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -90,6 +90,9 @@
 	identityConfirmed bool
 	// zoneClosed is true while the zone of this VM is out of service.
 	zoneClosed bool
+	// saidLeaving is true if a response of the present target process has said that it
+	// leaves. Heartbeats that say otherwise may be older than the response.
+	saidLeaving bool
 	// rateLimitedAt is when a response last named the target's rate limit.
 	rateLimitedAt time.Time
 	// adoptedAt is when this node learned of the present target process. Responses to
@@ -140,7 +143,9 @@
 	stateBefore := t.stateLocked(now)
 	t.adoptIdentity(now, r.ID, r.StartedAt)
 	t.sequence, t.service, t.identityConfirmed, t.hasReported = r.Sequence, r.Service, true, true
-	t.setPhase(now, r.Phase)
+	if !t.saidLeaving || r.Phase != gage.TargetServing {
+		t.setPhase(now, r.Phase)
+	}
 	if r.Slots > 0 {
 		t.gate.Limit = max(1, int(float64(r.Slots)*slotUtilization))
 	}
@@ -201,7 +206,7 @@
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
 	t.gate.SetRate(now, math.Inf(1))
-	t.id, t.sequence, t.phase, t.hasReported = id, 0, gage.TargetServing, false
+	t.id, t.sequence, t.phase, t.hasReported, t.saidLeaving = id, 0, gage.TargetServing, false, false
 	t.startedAt = max(startedAt, t.startedAt)
 	t.progressAt, t.adoptedAt = now, now
 }
@@ -287,6 +292,7 @@
 		ColdRemaining: t.gate.ColdRemaining(now),
 		ColdRate:      t.gate.ColdRate,
 		Limit:         t.concurrency(),
+		StartedAt:     t.startedAt,
 		InFlight:      t.gate.InFlight(),
 		Queued:        t.gate.Waiting(),
 		Pressure:      t.gate.Pressure(now),
--- a/stand/plat/notices_test.go
+++ b/stand/plat/notices_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -162,7 +163,8 @@
 	assert.Assert(t, f.mayRunManyAtOnce())
 }
 
-// A response of another process, which did not run the request, limits nothing.
+// A response of another process, which did not run the request, limits nothing, and says
+// nothing about the target's leaving.
 func TestNoticesOfAnotherProcessAreIgnored(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
@@ -171,6 +173,7 @@
 	other := &plat.Target{ID: "i-other", Service: "search", Slots: 20, ServiceTime: time.Millisecond}
 	assert.NilError(t, other.StartAt(v.target.Address))
 	other.SetHeader("Server-Limit", "1")
+	other.SetHeader("Server-Leaving", "1")
 	for range 5 {
 		assert.Equal(t, f.send(2, "GET", "/inner/1", "").status, 503)
 	}
@@ -180,3 +183,71 @@
 	f.waitFor("the target serves again", func() bool { return f.send(2, "GET", "/inner/1", "").status == 200 })
 	f.waitFor("many requests run", f.mayRunManyAtOnce)
 }
+
+// leavingDelay is the time within which a target that has said that it leaves must get no
+// more requests.
+const leavingDelay = time.Second
+
+// assertNoArrivals sends requests of the service "booking" to the first two nodes for a
+// while, from leavingDelay on, and asserts that none reaches the target.
+func (f *fleet) assertNoArrivals(target *plat.Target) {
+	f.t.Helper()
+	time.Sleep(leavingDelay)
+	before := len(target.Arrivals())
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i := range 2 {
+			assert.Equal(f.t, f.send(i, "GET", "/inner/1", "").status, 503)
+		}
+	}
+	assert.Equal(f.t, len(target.Arrivals()), before)
+}
+
+// A target that said in its responses that it leaves got requests: no heartbeat had told,
+// or one that was sent earlier came later.
+func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	for _, isStoreDown := range []bool{false, true} {
+		t.Run(fmt.Sprint("store down ", isStoreDown), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			v := f.vms[2]
+			if isStoreDown {
+				f.store.SetFault(plat.StoreUnavailable)
+			}
+			v.target.SetHeader("Server-Leaving", "1")
+			assert.Equal(t, f.send(0, "GET", "/inner/1", "").status, 200)
+			assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+			f.assertNoArrivals(v.target)
+		})
+	}
+}
+
+// A target that had said to a caller's node that it leaves got requests from there again
+// after the node beside the target had restarted.
+func TestLeavingIsRememberedWhenTheTargetsNodeRestarts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	v.target.SetHeader("Server-Leaving", "1")
+	for i := range 2 {
+		f.waitFor("each node has passed on a notice, or knows of the leaving", func() bool {
+			a := f.send(i, "GET", "/inner/1", "")
+			return a.header.Get("Server-Leaving") != "" || a.status == 503
+		})
+	}
+	// The new process hears nothing of the leaving by itself.
+	v.target.SetHeader("Server-Leaving")
+	v.node.Kill()
+	f.restartNode(v)
+	assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+	time.Sleep(leavingDelay)
+	before := len(v.target.Arrivals())
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		assert.Equal(t, f.send(0, "GET", "/inner/1", "").status, 503)
+	}
+	assert.Equal(t, len(v.target.Arrivals()), before)
+
+	assert.NilError(t, v.target.Restart())
+	assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+	f.waitFor("a new process of the target is used", func() bool { return f.send(0, "GET", "/inner/1", "").status == 200 })
+}
