Test repeated refusals and heads that are cut off

Two reports of operators: an earlier refusal that a target wrote once more was taken for the answer to the next request; a head that was cut off was taken for a whole response with an empty or short body. Neither can happen on the connections of hop: a response must echo the request's ID, and a head ends with an empty line or the connection is given up.

No change of logic.

--- a/gage/transport/hop/hop_test.go
+++ b/gage/transport/hop/hop_test.go
@@ -335,3 +335,99 @@
 	}()
 	return listener.Addr().String(), sent
 }
+
+// A target stopped in the middle of the head of its response and closed the connection.
+// Wherever that is, the response must not count as a whole one with a short body or none.
+func TestHeadCutOffAnywhereIsNoResponse(t *testing.T) {
+	heads := map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 12\r\nX-Signature: s\r\n\r\n",
+		"chunked":    "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"until end":  "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n\r\n",
+		"bare lines": "HTTP/1.1 200 OK\n" + idHeader + ": 1\nContent-Length: 12\n\n",
+		"no content": "HTTP/1.1 204 No Content\r\n" + idHeader + ": 1\r\n\r\n",
+		"interim":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for length := range len(head) {
+				address, connections := startServer(t, func(int, *http.Request) (string, bool) { return head[:length], true })
+				body, _, err := get(newClient(), address, "1")
+				var failure *hop.Failure
+				assert.Assert(t, errors.As(err, &failure), "%q: body %q, error %v", head[:length], body, err)
+				assert.Assert(t, failure.Sent && !failure.Dial)
+				assert.Equal(t, connections.Load(), int64(1))
+			}
+		})
+	}
+}
+
+// A chunked body that is cut off anywhere is not complete.
+func TestChunkedBodyCutOffAnywhereIsNotComplete(t *testing.T) {
+	const head, body = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n0\r\n\r\n"
+	for length := range len(body) {
+		address, _ := startServer(t, func(int, *http.Request) (string, bool) { return head + body[:length], true })
+		text, _, err := get(newClient(), address, "1")
+		assert.Assert(t, err != nil, "%q gives %q", body[:length], text)
+	}
+}
+
+// A target wrote an earlier refusal once more on a kept connection. The next request, which
+// the target ran, must not count as refused.
+func TestRepeatedRefusalAnswersNoOtherRequest(t *testing.T) {
+	const notExecuted = "X-Not-Executed"
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + id + notExecuted + ": 1\r\nContent-Length: 4\r\n\r\nfull"
+	}
+	withID := func(id string) string { return idHeader + ": " + id + "\r\n" }
+	const pause = 20 * time.Millisecond
+	cases := map[string]struct {
+		// repeated is written after the refusal of the first request, either at once or
+		// when the second request has arrived.
+		repeated string
+		isLate   bool
+		// isAnswered is whether the target answers the second request.
+		isAnswered bool
+	}{
+		"at once":                           {refusal(withID("1")), false, true},
+		"before the next answer":            {refusal(withID("1")), true, true},
+		"twice before the next answer":      {refusal(withID("1")) + refusal(withID("1")), true, true},
+		"without an ID":                     {refusal(""), true, true},
+		"in place of the next answer":       {refusal(withID("1")), true, false},
+		"without an ID and the next answer": {refusal(""), true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startServer(t, func(n int, r *http.Request) (string, bool) {
+				id := r.Header.Get(idHeader)
+				switch {
+				case id == "1" && c.isLate:
+					return refusal(withID(id)), false
+				case id == "1":
+					return refusal(withID(id)) + c.repeated, false
+				case n == 0:
+					// The connection of the refusal was not used again.
+					return okResponse(id, "right"), false
+				case c.isAnswered:
+					return c.repeated + okResponse(id, "right"), false
+				}
+				return c.repeated, true
+			})
+			client := newClient()
+			_, response, err := get(client, address, "1")
+			assert.NilError(t, err)
+			assert.Equal(t, response.Header.Get(notExecuted), "1")
+			time.Sleep(pause)
+			body, response, err := get(client, address, "2")
+			if !c.isAnswered {
+				var failure *hop.Failure
+				assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, response.Header.Get(notExecuted), "")
+			assert.Equal(t, body, "right")
+		})
+	}
+}
