Answer the requests that a stopping node still takes

What callers saw (report of other operators): in a planned stop, requests that came late were taken and passed on, and cut off without an answer at the end of the grace period.

Cause: a stopping node takes callers' requests for 0.47 of the grace period and nested ones for 0.75 of it, with the deadlines of their callers. A slow one outlives the node. Class: a permission that outlives the one who gave it.

Change: a request that begins during a stop gets a deadline 0.1 s before the node closes its servers, which the target is told, so that it answers in time. Each target's deadline is now 5 ms before that of its node: the answer of a target that gives up arrives before the node gives up itself. The stop is measured by both clocks, since the time of day can be set back meanwhile.

Evidence: TestRequestsTakenLateInAStopAreAnswered: a caller's request 2.5 s and a nested one 4.2 s after SIGTERM, grace 6 s, ended without an answer before; one at 4.5 s of a grace of 10 s with the node's own 504.

--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -233,7 +233,7 @@
 			budget = callerBudget
 		}
 	}
-	q.deadline = now.Add(budget)
+	q.deadline = m.lastDeadline(now, now.Add(budget))
 	if q.chainDeadline.Before(q.deadline) {
 		q.chainDeadline = q.deadline
 	}
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -127,6 +127,12 @@
 	Metrics *metrics.Set
 }
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	// leftAt is when the drain began, and closesAt when the node closes its servers.
+	leftAt, closesAt time.Time
+}
+
 // Mesh is one node.
 type Mesh struct {
 	options Options
@@ -158,8 +164,8 @@
 	// listedNodeCount is the number of nodes found in the store when this node
 	// registered, including itself; 0 until then.
 	listedNodeCount atomic.Int64
-	// leftAt is the Unix time in nanoseconds at which leaving was set.
-	leftAt       atomic.Int64
+	// stop is set before leaving.
+	stop         atomic.Pointer[stopTimes]
 	requests     requestCounter
 	broadcastNow chan struct{}
 
@@ -242,9 +248,9 @@
 }
 
 // Leave starts the drain before a stop: Ready returns false from now on, and
-// the other nodes are notified.
-func (m *Mesh) Leave(now time.Time) {
-	m.leftAt.Store(now.UnixNano())
+// the other nodes are notified. At closesAt the servers of the node are closed.
+func (m *Mesh) Leave(now, closesAt time.Time) {
+	m.stop.Store(&stopTimes{leftAt: now, closesAt: closesAt})
 	m.leaving.Store(true)
 	m.broadcastSoon()
 }
@@ -269,8 +275,24 @@
 	if nested {
 		graceShare = nestedDrainShare
 	}
-	sinceLeave := time.Duration(now.UnixNano() - m.leftAt.Load())
-	return sinceLeave > time.Duration(graceShare*float64(m.bounds.Load().Grace))
+	return gage.Elapsed(now, m.stop.Load().leftAt) > time.Duration(graceShare*float64(m.bounds.Load().Grace))
+}
+
+// closeMargin is how long before its servers are closed a leaving node must have the
+// responses to the requests that it still accepts.
+const closeMargin = 100 * time.Millisecond
+
+// lastDeadline returns the latest deadline of a request that begins now. A leaving node
+// could not pass on a later response.
+func (m *Mesh) lastDeadline(now, deadline time.Time) time.Time {
+	if !m.leaving.Load() {
+		return deadline
+	}
+	last := now.Add(-gage.Elapsed(now, m.stop.Load().closesAt) - closeMargin)
+	if last.Before(deadline) {
+		return last
+	}
+	return deadline
 }
 
 // RejectAll makes the node refuse every further request. Requests in flight
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -14,6 +14,10 @@
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
 )
 
+// targetResponseMargin is how much earlier than a request's deadline the target's is, so
+// that the response of a target that gives up then arrives before the node gives up itself.
+const targetResponseMargin = 5 * time.Millisecond
+
 // maxBufferedBytes is how much of a body a node buffers. Requests with bodies up
 // to this size can be sent again. Responses with a shorter body are forwarded
 // only after they were received completely.
@@ -184,7 +188,7 @@
 	header[names.RequestID] = []string{w.id}
 	header[names.CallerService] = []string{w.callerService}
 	header[names.ExpectedTarget] = []string{w.expectedTarget}
-	header[names.DeadlineMillis] = []string{millis(w.deadline.Sub(now))}
+	header[names.DeadlineMillis] = []string{millis(w.deadline.Sub(now) - targetResponseMargin)}
 	if w.workspace != "" {
 		header[names.Workspace] = []string{w.workspace}
 	}
--- a/stand/plat/stops_test.go
+++ b/stand/plat/stops_test.go
@@ -58,6 +58,52 @@
 	assert.Equal(t, (<-answers).status, 200)
 }
 
+// Requests that came late in the grace period of a planned stop were taken and sent to
+// their target. They were cut off without an answer at the end of the grace period.
+func TestRequestsTakenLateInAStopAreAnswered(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		method, path string
+		grace        time.Duration
+		// at is when the request is sent, from the beginning of the stop.
+		at time.Duration
+	}{
+		"request of a caller": {"POST", "/book/1", 6 * time.Second, 2500 * time.Millisecond},
+		"nested request":      {"GET", "/inner/1", 6 * time.Second, 4200 * time.Millisecond},
+		"long grace period":   {"POST", "/book/1", 10 * time.Second, 4500 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			stopping, booking := f.vms[0], f.vms[2].target
+			stopping.node.Kill()
+			stopping.settings.Bounds.Grace = c.grace
+			f.startNode(stopping)
+			f.waitFor("the restarted node serves", func() bool { return f.send(0, c.method, c.path, key).status == 200 })
+			booking.ServiceTime, booking.HeedsDeadline = time.Minute, true
+			stopped := make(chan struct{})
+			go func() {
+				stopping.node.Stop()
+				close(stopped)
+			}()
+			// Another request keeps the node busy.
+			go f.sendWith(0, "POST", "/book/1", func(r *http.Request) {
+				r.Header.Set("X-Key", key)
+				r.Header.Set("X-Deadline-Milliseconds", "60000")
+			})
+			time.Sleep(c.at)
+			a := f.sendWith(0, c.method, c.path, func(r *http.Request) {
+				r.Header.Set("X-Key", key)
+				r.Header.Set("X-Deadline-Milliseconds", "5000")
+			})
+			assert.Equal(t, a.status, 504)
+			assert.Equal(t, a.header.Get("X-Response-Signature"), "signed-i-vm-2", "the target's own answer")
+			<-stopped
+		})
+	}
+}
+
 const settingsFile = `node_name = "vm-0"
 ip = "%s"
 zone = "zone-0"
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -79,6 +79,8 @@
 	Slots int
 	// ServiceTime is how long a run takes without its nested calls.
 	ServiceTime time.Duration
+	// HeedsDeadline makes a run that its deadline ends answer 504 then.
+	HeedsDeadline bool
 	// Calls are the nested calls made one after the other for each request.
 	Calls []Call
 	// WarmAt is the time from which the target is no longer cold.
@@ -225,6 +227,11 @@
 	if !t.simulateWork(r) {
 		return
 	}
+	if left := t.runDeadline(r); t.HeedsDeadline && left < t.ServiceTime {
+		w.Header().Set("X-Response-Signature", "signed-"+t.ID)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
 	t.writeAnswer(w, r, fault)
 }
 
@@ -309,8 +316,12 @@
 // simulateWork waits for the service time and returns true. If the caller closes the
 // connection first, it counts the run as canceled and returns false.
 func (t *Target) simulateWork(r *http.Request) bool {
+	duration := t.ServiceTime
+	if t.HeedsDeadline {
+		duration = min(duration, t.runDeadline(r))
+	}
 	select {
-	case <-time.After(t.ServiceTime):
+	case <-time.After(duration):
 		return true
 	case <-r.Context().Done():
 		t.mu.Lock()
@@ -320,6 +331,15 @@
 	}
 }
 
+// runDeadline returns the time that a request allows for its run, a day if it states none.
+func (t *Target) runDeadline(r *http.Request) time.Duration {
+	millis, err := strconv.Atoi(r.Header.Get("X-Deadline-Milliseconds"))
+	if err != nil {
+		return 24 * time.Hour
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // writeAnswer makes the nested calls and writes the answer. The status is 500 if a
 // nested call was not answered with 200 or the fault is TargetFails, otherwise 200.
 func (t *Target) writeAnswer(w http.ResponseWriter, r *http.Request, fault TargetFault) {
