Take no repeated refusal for the answer to another request

What callers saw (report of other operators): a faulty target wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that the target ran.

Cause, in the project's own interface: relay takes the next response on a kept connection for the answer to the request that it has just sent. Class: an answer that is matched by its position only.

Change: an answer that names another request or attempt is Unknown. A refusal that names none counts on a new connection only, where nothing was asked before.

Cost: a target that does not name the request in its refusals gets fewer repeats of non-idempotent requests after them.

--- a/gage/transport/relay/relay.go
+++ b/gage/transport/relay/relay.go
@@ -92,9 +92,31 @@
 		return tracker.failure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if detail := foreignAnswer(response, c, tracker.isReused()); detail != "" {
+		return unknownOutcome(gage.ReasonTargetFailed, detail)
+	}
 	return readAnswer(ctx, c.Method, response)
 }
 
+// foreignAnswer returns why an answer may be to another request than c, or "". A faulty
+// target may write an earlier answer once more. A refusal that does not name its request
+// counts only on a new connection, on which nothing was asked before.
+func foreignAnswer(response *http.Response, c gage.Call, isReused bool) string {
+	id, attempt := response.Header.Get(header.RequestID), response.Header.Get(header.Attempt)
+	switch {
+	case id != "" && id != c.RequestID, attempt != "" && attempt != strconv.Itoa(c.Attempt):
+		return fmt.Sprintf("The target's answer is to request %.64q, attempt %.16q.", id, attempt)
+	case id == "" && isReused && isRefusal(response):
+		return "The target's refusal came on a kept connection and does not name its request."
+	}
+	return ""
+}
+
+// isRefusal reports whether a target answered that it did not run the request.
+func isRefusal(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(header.NotRun) == "true"
+}
+
 func (r *Relay) request(ctx context.Context, address, token string, c gage.Call) (*http.Request, error) {
 	// net/http retries a request on a broken connection only if it can rewind the
 	// body. singleUseBody hides the type of the reader, so that net/http cannot
@@ -140,6 +162,14 @@
 	admitBy time.Time
 	mu      sync.Mutex
 	conn    *guardedConn
+	// reused is true if the connection had served an earlier request.
+	reused bool
+}
+
+func (t *requestTracker) isReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
 }
 
 func (t *requestTracker) trace() *httptrace.ClientTrace {
@@ -151,7 +181,7 @@
 		conn.beginRequest(t.admitBy)
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.conn = conn
+		t.conn, t.reused = conn, info.Reused
 	}}
 }
 
@@ -199,7 +229,7 @@
 	if len(body) > gage.MaxBodyBytes {
 		return unknownOutcome(gage.ReasonTooLarge, fmt.Sprintf("The target's answer is larger than %d bytes.", gage.MaxBodyBytes))
 	}
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(header.NotRun) == "true" {
+	if isRefusal(response) {
 		return gage.Refused(gage.ReasonOverload, "The target refused the request without running it.")
 	}
 	return gage.Result{
--- a/gage/transport/relay/relay_test.go
+++ b/gage/transport/relay/relay_test.go
@@ -179,6 +179,46 @@
 	assert.Equal(t, result.Reason, gage.ReasonOverload)
 }
 
+// A target wrote an earlier refusal once more on a kept connection, and it was taken for the
+// answer to the next request, which the target ran.
+func TestRepeatedRefusalRefusesNoOtherRequest(t *testing.T) {
+	refusal := func(id, attempt string) string {
+		head := "HTTP/1.1 503 Service Unavailable\r\nGage-Not-Run: true\r\n"
+		if id != "" {
+			head += "Gage-Request-Id: " + id + "\r\n"
+		}
+		if attempt != "" {
+			head += "Gage-Attempt: " + attempt + "\r\n"
+		}
+		return head + "Content-Length: 0\r\n\r\n"
+	}
+	cases := map[string]struct {
+		answer string
+		want   gage.Outcome
+	}{
+		"refusal of the request":               {refusal("vm.2", "1"), gage.OutcomeNotRun},
+		"refusal of the request, no attempt":   {refusal("vm.2", ""), gage.OutcomeNotRun},
+		"refusal of the earlier request":       {refusal("vm.1", "1"), gage.OutcomeUnknown},
+		"refusal of an earlier attempt":        {refusal("vm.2", "0"), gage.OutcomeUnknown},
+		"refusal that does not say of what":    {refusal("", ""), gage.OutcomeUnknown},
+		"answer to the earlier request":        {"HTTP/1.1 200 OK\r\nGage-Request-Id: vm.1\r\nContent-Length: 2\r\n\r\nok", gage.OutcomeUnknown},
+		"answer that does not say to what":     {completeAnswer, gage.OutcomeRan},
+		"answer to the request, with its name": {"HTTP/1.1 200 OK\r\nGage-Request-Id: vm.2\r\nContent-Length: 2\r\n\r\nok", gage.OutcomeRan},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startTarget(t, refusal("", ""), c.answer, completeAnswer)
+			r := relay.New(clock.System{})
+			defer r.Close()
+			assert.Equal(t, r.Send(t.Context(), address, "token", newPost("x")).Outcome, gage.OutcomeNotRun)
+			call := newPost("x")
+			call.RequestID = "vm.2"
+			assert.Equal(t, r.Send(t.Context(), address, "token", call).Outcome, c.want)
+			assert.Equal(t, r.Send(t.Context(), address, "token", newPost("x")).Outcome, gage.OutcomeRan)
+		})
+	}
+}
+
 func TestServerErrorsDoNotTripACircuitBreaker(t *testing.T) {
 	const failures = 200
 	failure := "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
--- a/stand/target/handler.go
+++ b/stand/target/handler.go
@@ -49,6 +49,8 @@
 // ServeHTTP executes one request, or sheds it with 503 and the Gage-Not-Run
 // header when slots and queue are full.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+	w.Header().Set(header.Attempt, r.Header.Get(header.Attempt))
 	body, err := io.ReadAll(io.LimitReader(r.Body, gage.MaxBodyBytes))
 	if err != nil {
 		return
