Test heads that are cut off in the project's own interface

The report of other operators, for relay: a target stops in the middle of the head of its answer and closes the connection. TestHeadCutOffAnywhereIsUnknown cuts the head at each byte; it passes on the code as it was (3 runs with the race detector). No change of logic.

--- a/gage/transport/relay/relay_test.go
+++ b/gage/transport/relay/relay_test.go
@@ -232,3 +232,15 @@
 	}
 	assert.Equal(t, requests.Load(), int64(failures))
 }
+
+// A target stopped in the middle of the head of its answer and closed the connection.
+func TestHeadCutOffAnywhereIsUnknown(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nGage-Request-Id: vm.1\r\nContent-Length: 2\r\n\r\n"
+	for length := range len(head) {
+		address, _ := startClosingTarget(t, head[:length])
+		r := relay.New(clock.System{})
+		result := r.Send(t.Context(), address, "token", newPost("x"))
+		r.Close()
+		assert.Equal(t, result.Outcome, gage.OutcomeUnknown, "%q", head[:length])
+	}
+}
