--- a/gage/transport/relay/relay_test.go
+++ b/gage/transport/relay/relay_test.go
@@ -115,7 +115,7 @@
 	}
 	for name, truncated := range cases {
 		t.Run(name, func(t *testing.T) {
-			address, _ := startClosingTarget(t, truncated)
+			address := startClosingTarget(t, truncated)
 			r := relay.New(clock.System{})
 			defer r.Close()
 			result := r.Send(context.Background(), address, "token", newPost("x"))
@@ -127,7 +127,7 @@
 
 // startClosingTarget starts a target that takes one request, writes answer and
 // closes the connection.
-func startClosingTarget(t *testing.T, answer string) (string, net.Listener) {
+func startClosingTarget(t *testing.T, answer string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -144,7 +144,7 @@
 		}
 		_ = conn.Close()
 	}()
-	return listener.Addr().String(), listener
+	return listener.Addr().String()
 }
 
 func TestExpiredRequestIsNotSent(t *testing.T) {
@@ -237,7 +237,7 @@
 func TestHeadCutOffAnywhereIsUnknown(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nGage-Request-Id: vm.1\r\nContent-Length: 2\r\n\r\n"
 	for length := range len(head) {
-		address, _ := startClosingTarget(t, head[:length])
+		address := startClosingTarget(t, head[:length])
 		r := relay.New(clock.System{})
 		result := r.Send(t.Context(), address, "token", newPost("x"))
 		r.Close()
