Give the platform's tests more addresses

The test fleets take one loopback address for each VM from a range of 254. With -count=3 a run of the tests of limits used them up and failed to start. A run goes on in the next range now.

--- a/stand/plat/fleet_test.go
+++ b/stand/plat/fleet_test.go
@@ -114,9 +114,10 @@
 // uniqueIP returns a loopback address that no other test in this process uses,
 // and that differs from those of test processes that run at the same time.
 func uniqueIP() string {
-	const firstSecondOctet, secondOctets, thirdOctets = 20, 200, 250
+	const firstSecondOctet, secondOctets, thirdOctets, lastOctets = 20, 200, 250, 250
 	n := addressCount.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", firstSecondOctet+os.Getpid()%secondOctets, os.Getpid()/secondOctets%thirdOctets, n)
+	third := os.Getpid()/secondOctets + int(n)/lastOctets
+	return fmt.Sprintf("127.%d.%d.%d", firstSecondOctet+os.Getpid()%secondOctets, third%thirdOctets, 1+int(n)%lastOctets)
 }
 
 // The ports of a VM.
