Keep a target's rate limit when the node beside it restarts

What callers and targets saw: after a restart of the node beside a target, the target got far more than the limit that it names, until its first response there.

Cause: only the node beside the target knew the limit. It started without one, and sent all that its concurrency allows before the first response came. The nodes that had passed on the limit did not keep it. Class: state that is lost with a process although others have seen it; leaving was remembered for the same reason.

Change: a roster remembers what the last response of each target process said, leaving and limit alike. A forwarded request carries the limit that its node knows. The node beside the target uses it until the target process has answered it; the first response decides. Found on the way: a later process with the ID of one that had left could not be remembered as leaving.

Evidence: TestLimitHoldsWhenTheTargetsNodeRestarts, a limit of 5 a second, two restarts: 212 requests in 4 s before (35 allowed); passes in 4 runs with the race detector. TestEachProcessCanLeave, TestRateLimitOfATarget.

--- a/gage/state/roster/pick.go
+++ b/gage/state/roster/pick.go
@@ -61,6 +61,7 @@
 		}
 	}
 	best.startedSinceUpdate++
+	best.RateLimit = r.noticesOf(best.Target).RateLimit
 	return *best, true
 }
 
@@ -95,7 +96,7 @@
 
 // acceptsRequests reports whether the target of a peer may get new requests.
 func (r *Roster) acceptsRequests(now time.Time, p *Peer) bool {
-	if p.Target.ID == "" || p.Target.Phase != gage.TargetServing || p.Leaving || r.closedZones[p.Zone] || r.isLeaving(p.Target) {
+	if p.Target.ID == "" || p.Target.Phase != gage.TargetServing || p.Leaving || r.closedZones[p.Zone] || r.noticesOf(p.Target).IsLeaving {
 		return false
 	}
 	if p.VM == r.self {
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -30,6 +30,9 @@
 	gage.NodeState
 	// UpdatedAt is when the node sent the state, zero if it never has.
 	UpdatedAt time.Time
+	// RateLimit is the limit that the target's last response to this node named, in
+	// requests per second; +Inf if there is none. It is set by Pick.
+	RateLimit float64
 	// orderKey is the position of the node in the order of Rank.
 	orderKey uint64
 	// fingerprint is that of the state.
@@ -63,9 +66,8 @@
 	random                      *rand.Rand
 	// closedZones are the zones taken out of service.
 	closedZones map[string]bool
-	// leaving holds the target processes whose responses have said that they leave, by
-	// target ID.
-	leaving map[string]leavingTarget
+	// notices holds what the responses of targets have said, by target ID.
+	notices map[string]processNotices
 	// zones holds the last summary of each other zone.
 	zones map[string]zoneSummary
 	// callsOthers holds, for each service, whether its targets make calls to other
@@ -87,7 +89,7 @@
 	return &Roster{
 		self: self, zone: zone, random: random, peers: make(map[string]*Peer), byFingerprint: make(map[uint32]*Peer),
 		closedZones: make(map[string]bool), zones: make(map[string]zoneSummary), seenServices: make(map[string]bool),
-		leaving:     make(map[string]leavingTarget),
+		notices:     make(map[string]processNotices),
 		sentOwnZone: make(map[string]sentState), sentOtherZones: make(map[string]sentState),
 	}
 }
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -326,10 +326,10 @@
 			break
 		}
 		q.triedVMs = append(q.triedVMs, peer.VM)
-		q.expectedTarget = peer.Target.ID
+		q.expectedTarget, q.knownRateLimit = peer.Target.ID, peer.RateLimit
 		r := m.send(ctx, peer, q)
 		m.observe(peer, r)
-		m.rememberLeaving(peer, q, &r)
+		m.rememberNotices(peer, &r)
 		q.mayHaveRun = q.mayHaveRun || r.outcome != gage.OutcomeNotRun
 		if r.outcome != gage.OutcomeNotRun || r.rejectedByTarget {
 			q.arrivals++
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,10 +32,12 @@
 	headerDeadline = "Gage-Deadline"
 	headerEnds     = "Gage-Ends"
 	headerWait     = "Gage-Wait"
-	headerOutcome  = "Gage-Outcome"
-	headerReason   = "Gage-Reason"
-	headerDetail   = "Gage-Detail"
-	headerLoad     = "Gage-Load"
+	// headerRateLimit holds knownRateLimit, if there is one.
+	headerRateLimit = "Gage-Rate-Limit"
+	headerOutcome   = "Gage-Outcome"
+	headerReason    = "Gage-Reason"
+	headerDetail    = "Gage-Detail"
+	headerLoad      = "Gage-Load"
 	// headerArrived is present if the target itself rejected the request.
 	headerArrived = "Gage-Arrived"
 	// headerOverloaded holds the service whose overload made the request fail.
@@ -67,6 +70,9 @@
 	if w.isNested {
 		header[headerNested] = []string{"1"}
 	}
+	if !math.IsInf(w.knownRateLimit, 1) {
+		header[headerRateLimit] = []string{strconv.FormatFloat(w.knownRateLimit, 'g', -1, 64)}
+	}
 	if hasLeft(ctx) {
 		m.stats.leftBeforeForward.Inc()
 		return canceledBeforeSend(ctx)
@@ -129,16 +135,18 @@
 	waitMillis, waitErr := strconv.Atoi(h.Get(headerWait))
 	chainMillis, chainErr := strconv.Atoi(h.Get(headerEnds))
 	rank, rankErr := strconv.Atoi(h.Get(headerRank))
-	if err := errors.Join(err, waitErr, chainErr, rankErr); err != nil {
+	rateLimit, _, rateErr := parseRateLimit(h[headerRateLimit])
+	if err := errors.Join(err, waitErr, chainErr, rankErr, rateErr); err != nil {
 		return nil, fmt.Errorf("read the header of a forwarded request: %w", err)
 	}
 	w := &targetRequest{
 		id: h.Get(headerID), method: r.Method, requestURI: r.RequestURI, host: r.Host,
 		callerService: h.Get(headerCaller), workspace: h.Get(headerWorkspace), route: h.Get(headerRoute),
 		expectedTarget: h.Get(headerTarget), isNested: h.Get(headerNested) != "", rank: rank,
-		deadline:      now.Add(time.Duration(millisLeft) * time.Millisecond),
-		chainDeadline: now.Add(time.Duration(chainMillis) * time.Millisecond),
-		waitUntil:     now.Add(time.Duration(waitMillis) * time.Millisecond),
+		knownRateLimit: rateLimit,
+		deadline:       now.Add(time.Duration(millisLeft) * time.Millisecond),
+		chainDeadline:  now.Add(time.Duration(chainMillis) * time.Millisecond),
+		waitUntil:      now.Add(time.Duration(waitMillis) * time.Millisecond),
 	}
 	w.header = forwardableHeaders(h)
 	return w, readBody(w, rw, r)
--- a/gage/transport/mesh/notices.go
+++ b/gage/transport/mesh/notices.go
@@ -27,6 +27,7 @@
 	if gate != t.gate || admittedAt.Before(t.adoptedAt) {
 		return
 	}
+	t.hasAnswered = true
 	if header[names.RateLimit] == nil && header[names.Leaving] == nil && !gate.RateLimited() {
 		return
 	}
@@ -110,10 +111,14 @@
 	return isLeaving, nil
 }
 
-// rememberLeaving records a notice of leaving in a response to a request of this VM. The
-// node beside the target heeds it too, but it may restart.
-func (m *Mesh) rememberLeaving(peer roster.Peer, q *request, r *attemptResult) {
-	if isLeaving, _ := parseLeaving(r.header[m.options.HeaderNames.Leaving]); isLeaving {
-		m.roster.TargetLeaves(m.options.Clock.Now(), peer.VM, q.expectedTarget)
+// rememberNotices records the notices in a response to a request of this VM. The node
+// beside the target heeds them too, but it may restart.
+func (m *Mesh) rememberNotices(peer roster.Peer, r *attemptResult) {
+	if r.header == nil {
+		return
 	}
+	names := m.options.HeaderNames
+	rate, _, _ := parseRateLimit(r.header[names.RateLimit])
+	isLeaving, _ := parseLeaving(r.header[names.Leaving])
+	m.roster.TargetSays(m.options.Clock.Now(), peer.Target, roster.Notices{IsLeaving: isLeaving, RateLimit: rate})
 }
--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -95,6 +95,9 @@
 	saidLeaving bool
 	// rateLimitedAt is when a response last named the target's rate limit.
 	rateLimitedAt time.Time
+	// hasAnswered is true if the present target process has answered a request since
+	// this node started. Until then its rate limit is known from other nodes only.
+	hasAnswered bool
 	// adoptedAt is when this node learned of the present target process. Responses to
 	// requests that were admitted before may be of an earlier one.
 	adoptedAt time.Time
@@ -206,7 +209,7 @@
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
 	t.gate.SetRate(now, math.Inf(1))
-	t.id, t.sequence, t.phase, t.hasReported, t.saidLeaving = id, 0, gage.TargetServing, false, false
+	t.id, t.sequence, t.phase, t.hasReported, t.saidLeaving, t.hasAnswered = id, 0, gage.TargetServing, false, false, false
 	t.startedAt = max(startedAt, t.startedAt)
 	t.progressAt, t.adoptedAt = now, now
 }
@@ -442,6 +445,9 @@
 	if gate.InFlight() == 0 {
 		t.progressAt = now
 	}
+	if !t.hasAnswered && !gate.RateLimited() && !w.isLocal {
+		t.setRate(now, w.knownRateLimit)
+	}
 	ticket := gate.Submit(now, slots.Request{Nested: w.isNested, Rank: w.rank, WaitUntil: w.waitUntil, ChainDeadline: w.chainDeadline})
 	t.advanceAtNextToken(now)
 	t.mu.Unlock()
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -45,6 +45,9 @@
 	route          string
 	service        string
 	expectedTarget string
+	// knownRateLimit is the target's limit of its rate as the caller's node has last
+	// heard, in requests per second; +Inf if it has heard of none.
+	knownRateLimit float64
 	isNested       bool
 	rank           int
 	// isLocal is true if the caller is on the VM of the target.
--- a/stand/plat/notices_test.go
+++ b/stand/plat/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -71,6 +72,61 @@
 	f.waitFor("the limit ends", func() bool { return f.sendSteadily(demand, 200*time.Millisecond) >= demand/5*9/10 })
 }
 
+// slowLimit is the limit of the target of newSlowFleet, in requests per second.
+const slowLimit = 5
+
+// newSlowFleet returns a fleet whose target of the service "booking" takes 0.5 s for a
+// request, and has named the limit slowLimit to the first two nodes.
+func newSlowFleet(t *testing.T) *fleet {
+	f := newFleet(t)
+	v := f.vms[2]
+	v.target.Stop()
+	v.target.ServiceTime, v.target.Slots = 500*time.Millisecond, 100
+	v.target.SetHeader("Server-Limit", strconv.Itoa(slowLimit))
+	time.Sleep(5 * time.Millisecond)
+	assert.NilError(t, v.target.Restart())
+	assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+	for i := range 2 {
+		f.waitFor("each node has passed on the limit", func() bool { return f.send(i, "GET", "/inner/1", "").header.Get("Server-Limit") != "" })
+	}
+	return f
+}
+
+// assertSlowLimit sends 200 requests a second to the first two nodes for 4 s and asserts
+// that the limit slowLimit holds and is used. It calls disturb 1 s and 2.5 s after the
+// start.
+func (f *fleet) assertSlowLimit(disturb func()) {
+	const interval, window = 5 * time.Millisecond, 4 * time.Second
+	start := time.Now()
+	disturbances := []time.Time{start.Add(time.Second), start.Add(2500 * time.Millisecond)}
+	var running sync.WaitGroup
+	for i := 0; time.Since(start) < window; i++ {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * interval)))
+		if len(disturbances) > 0 && time.Now().After(disturbances[0]) {
+			disturbances = disturbances[1:]
+			disturb()
+		}
+		running.Go(func() { f.send(i%2, "GET", "/inner/1", "") })
+	}
+	running.Wait()
+	most := mostArrivals(f.vms[2].target, start, window)
+	assert.Assert(f.t, most <= slowLimit*4*3/2+5, "%d in 4 s", most)
+	assert.Assert(f.t, most >= slowLimit*4/2, "%d in 4 s", most)
+}
+
+// A target got more requests than the limit that it names after the node beside it had
+// restarted: that node did not know the limit until the target's first response.
+func TestLimitHoldsWhenTheTargetsNodeRestarts(t *testing.T) {
+	t.Parallel()
+	f := newSlowFleet(t)
+	v := f.vms[2]
+	f.assertSlowLimit(func() {
+		v.node.Kill()
+		f.restartNode(v)
+		assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+	})
+}
+
 // Requests beyond a target's limit are refused as not run, with a time to come back, and
 // soon, since it is known that their wait would be in vain.
 func TestRequestsBeyondTheLimitAreRefusedSoon(t *testing.T) {
