Let no health check end a target's rate limit

What a target saw: far more requests than its limit, after its zone had returned to service or after it had been suspect.

Cause: the identity check of the node reads the headers of a health response like those of any other response. A health endpoint need not name the limit, and its response then ended it. Class: a missing statement taken for a statement.

Change: only a response to a request ends a limit; a health response may set one.

--- a/gage/transport/mesh/notices.go
+++ b/gage/transport/mesh/notices.go
@@ -32,6 +32,9 @@
 		return
 	}
 	wasLeaving, wasLimited := t.saidLeaving, gate.RateLimited()
+	if header[names.RateLimit] == nil && now.Sub(t.rateLimitedAt) > rateLimitHold {
+		t.setRate(now, math.Inf(1))
+	}
 	t.readNotices(now, header)
 	t.advanceAtNextToken(now)
 	if t.saidLeaving != wasLeaving || gate.RateLimited() != wasLimited {
@@ -39,8 +42,8 @@
 	}
 }
 
-// readNotices applies the notices in a response of the present target process. The caller
-// must hold mu.
+// readNotices applies the notices in a response of the present target process. It ends no
+// rate limit, since a health check need not name the limit. The caller must hold mu.
 func (t *localTarget) readNotices(now time.Time, header http.Header) {
 	names := t.mesh.options.HeaderNames
 	rate, isNamed, err := parseRateLimit(header[names.RateLimit])
@@ -50,8 +53,6 @@
 	case isNamed:
 		t.rateLimitedAt = now
 		t.setRate(now, rate)
-	case now.Sub(t.rateLimitedAt) > rateLimitHold:
-		t.setRate(now, math.Inf(1))
 	}
 	isLeaving, err := parseLeaving(header[names.Leaving])
 	if err != nil {
--- a/stand/plat/notices_test.go
+++ b/stand/plat/notices_test.go
@@ -72,6 +72,10 @@
 	f.waitFor("the limit ends", func() bool { return f.sendSteadily(demand, 200*time.Millisecond) >= demand/5*9/10 })
 }
 
+// rateLimitHold is longer than a request and the time for which a limit is kept without a
+// response that names it.
+const rateLimitHold = 1200 * time.Millisecond
+
 // slowLimit is the limit of the target of newSlowFleet, in requests per second.
 const slowLimit = 5
 
@@ -127,6 +131,20 @@
 	})
 }
 
+// A health check that did not name the target's limit ended it: the target got more than
+// the limit after its zone had returned to service.
+func TestHealthCheckEndsNoLimit(t *testing.T) {
+	t.Parallel()
+	f := newSlowFleet(t)
+	f.vms[2].target.SetPlainHealth(true)
+	f.assertSlowLimit(sync.OnceFunc(func() {
+		f.store.Put("op/evacuate/zone-0", []byte("{}"))
+		f.waitFor("the zone gets no requests", func() bool { return f.send(2, "POST", "/book/1", key).status == 503 })
+		time.Sleep(rateLimitHold)
+		f.store.Remove("op/evacuate/zone-0")
+	}))
+}
+
 // Requests beyond a target's limit are refused as not run, with a time to come back, and
 // soon, since it is known that their wait would be in vain.
 func TestRequestsBeyondTheLimitAreRefusedSoon(t *testing.T) {
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -95,8 +95,10 @@
 	startedMillis int64
 	server        *http.Server
 	canceledRuns  int
-	// headers are added to each response, also to health checks.
-	headers http.Header
+	// headers are added to each response, to those of health checks only if
+	// isHealthPlain is false.
+	headers       http.Header
+	isHealthPlain bool
 	// nestedCalls counts the nested calls, to make their request IDs unique.
 	nestedCalls int
 }
@@ -161,6 +163,14 @@
 	t.headers = headers
 }
 
+// SetPlainHealth sets whether the responses of health checks lack the headers that
+// SetHeader adds to all others.
+func (t *Target) SetPlainHealth(isPlain bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isHealthPlain = isPlain
+}
+
 // Runs returns a copy of all runs so far, in the order they began.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
@@ -185,8 +195,14 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	w = &headerWriter{ResponseWriter: w, target: t}
-	if r.URL.Path == "/health" {
+	isHealthCheck := r.URL.Path == "/health"
+	t.mu.Lock()
+	isPlain := isHealthCheck && t.isHealthPlain
+	t.mu.Unlock()
+	if !isPlain {
+		w = &headerWriter{ResponseWriter: w, target: t}
+	}
+	if isHealthCheck {
 		t.serveHealth(w)
 		return
 	}
