Wait longer for the answers of targets that a stop ends

Cause: targets were told a deadline 5 ms before that at which the stopping node and the node beside the target give up. The log shows that both gave up 1.183 s after the request was taken, before the target's answer had come. A few milliseconds of delay at three processes use the margin up. Class: a margin in time that assumes an idle machine.

Change: a request that begins during a stop has two times: the deadline, which the target is told, and 0.3 s later the time at which the nodes give up. A forwarded request names the second only if it differs, so that nothing changes outside a stop.

--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -98,7 +98,7 @@
 		m.writeError(rw, q, *refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), q.giveUpAt)
 	defer cancel()
 	if q.isNested {
 		m.calls.recordCall(now)
@@ -233,7 +233,7 @@
 			budget = callerBudget
 		}
 	}
-	q.deadline = m.lastDeadline(now, now.Add(budget))
+	q.deadline, q.giveUpAt = m.boundByStop(now, now.Add(budget))
 	if q.chainDeadline.Before(q.deadline) {
 		q.chainDeadline = q.deadline
 	}
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -27,9 +27,11 @@
 	headerRoute     = "Gage-Route"
 	headerNested    = "Gage-Nested"
 	headerRank      = "Gage-Rank"
-	// headerDeadline, headerEnds and headerWait hold the milliseconds left until
-	// the request's deadline, chainDeadline and waitUntil, respectively.
+	// headerDeadline, headerGiveUp, headerEnds and headerWait hold the milliseconds left
+	// until the request's deadline, giveUpAt, chainDeadline and waitUntil, respectively.
+	// headerGiveUp is left out if giveUpAt is the deadline.
 	headerDeadline = "Gage-Deadline"
+	headerGiveUp   = "Gage-Give-Up"
 	headerEnds     = "Gage-Ends"
 	headerWait     = "Gage-Wait"
 	// headerRateLimit holds knownRateLimit, if there is one.
@@ -62,6 +64,9 @@
 	header[headerRoute] = []string{w.route}
 	header[headerRank] = []string{strconv.Itoa(w.rank)}
 	header[headerDeadline] = []string{millis(w.deadline.Sub(now))}
+	if w.giveUpAt.After(w.deadline) {
+		header[headerGiveUp] = []string{millis(w.giveUpAt.Sub(now))}
+	}
 	header[headerEnds] = []string{millis(w.chainDeadline.Sub(now))}
 	header[headerWait] = []string{millis(min(w.waitUntil.Sub(now), w.deadline.Sub(now)-peerResponseMargin))}
 	if w.workspace != "" {
@@ -119,7 +124,7 @@
 		writePeerResponse(rw, notRun(gage.ReasonBadRequest, err.Error()))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), w.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), w.giveUpAt)
 	defer cancel()
 	result := m.runAtLocalTarget(ctx, w)
 	defer result.close()
@@ -132,11 +137,15 @@
 	now := m.options.Clock.Now()
 	h := r.Header
 	millisLeft, err := strconv.Atoi(h.Get(headerDeadline))
+	giveUpMillis, giveUpErr := millisLeft, error(nil)
+	if text := h.Get(headerGiveUp); text != "" {
+		giveUpMillis, giveUpErr = strconv.Atoi(text)
+	}
 	waitMillis, waitErr := strconv.Atoi(h.Get(headerWait))
 	chainMillis, chainErr := strconv.Atoi(h.Get(headerEnds))
 	rank, rankErr := strconv.Atoi(h.Get(headerRank))
 	rateLimit, _, rateErr := parseRateLimit(h[headerRateLimit])
-	if err := errors.Join(err, waitErr, chainErr, rankErr, rateErr); err != nil {
+	if err := errors.Join(err, giveUpErr, waitErr, chainErr, rankErr, rateErr); err != nil {
 		return nil, fmt.Errorf("read the header of a forwarded request: %w", err)
 	}
 	w := &targetRequest{
@@ -145,6 +154,7 @@
 		expectedTarget: h.Get(headerTarget), isNested: h.Get(headerNested) != "", rank: rank,
 		knownRateLimit: rateLimit,
 		deadline:       now.Add(time.Duration(millisLeft) * time.Millisecond),
+		giveUpAt:       now.Add(time.Duration(giveUpMillis) * time.Millisecond),
 		chainDeadline:  now.Add(time.Duration(chainMillis) * time.Millisecond),
 		waitUntil:      now.Add(time.Duration(waitMillis) * time.Millisecond),
 	}
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -282,17 +282,25 @@
 // responses to the requests that it still accepts.
 const closeMargin = 100 * time.Millisecond
 
-// lastDeadline returns the latest deadline of a request that begins now. A leaving node
-// could not pass on a later response.
-func (m *Mesh) lastDeadline(now, deadline time.Time) time.Time {
+// stopResponseMargin is how much earlier than a leaving node a target must give up, so that
+// its response arrives in time even if nodes or the target are slow.
+const stopResponseMargin = 300 * time.Millisecond
+
+// boundByStop returns the deadline of a request that begins now, and when the node gives
+// the request up. Both are the given deadline unless the node closes before.
+func (m *Mesh) boundByStop(now, deadline time.Time) (bounded, giveUpAt time.Time) {
 	if !m.leaving.Load() {
-		return deadline
+		return deadline, deadline
 	}
 	last := now.Add(-gage.Elapsed(now, m.stop.Load().closesAt) - closeMargin)
-	if last.Before(deadline) {
-		return last
+	return earlier(deadline, last.Add(-stopResponseMargin)), earlier(deadline, last)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return deadline
+	return a
 }
 
 // RejectAll makes the node refuse every further request. Requests in flight
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -55,6 +55,9 @@
 	// idempotent requests may run more than once.
 	idempotent bool
 	deadline   time.Time
+	// giveUpAt is when the nodes stop waiting for the target's response, at or after
+	// deadline.
+	giveUpAt time.Time
 	// chainDeadline is the deadline of the request at the head of the call chain,
 	// at or after deadline.
 	chainDeadline time.Time
--- a/stand/plat/stops_test.go
+++ b/stand/plat/stops_test.go
@@ -59,7 +59,8 @@
 }
 
 // Requests that came late in the grace period of a planned stop were taken and sent to
-// their target. They were cut off without an answer at the end of the grace period.
+// their target. They were cut off without an answer at the end of the grace period, or
+// ended with the node's own answer if the target's came a few milliseconds late.
 func TestRequestsTakenLateInAStopAreAnswered(t *testing.T) {
 	t.Parallel()
 	cases := map[string]struct {
@@ -67,10 +68,14 @@
 		grace        time.Duration
 		// at is when the request is sent, from the beginning of the stop.
 		at time.Duration
+		// giveUpTime is how long the target needs for its answer at the deadline.
+		giveUpTime time.Duration
 	}{
-		"request of a caller": {"POST", "/book/1", 6 * time.Second, 2500 * time.Millisecond},
-		"nested request":      {"GET", "/inner/1", 6 * time.Second, 4200 * time.Millisecond},
-		"long grace period":   {"POST", "/book/1", 10 * time.Second, 4500 * time.Millisecond},
+		"request of a caller":                 {"POST", "/book/1", 6 * time.Second, 2500 * time.Millisecond, 0},
+		"nested request":                      {"GET", "/inner/1", 6 * time.Second, 4200 * time.Millisecond, 0},
+		"long grace period":                   {"POST", "/book/1", 10 * time.Second, 4500 * time.Millisecond, 0},
+		"request of a caller, slow to answer": {"POST", "/book/1", 6 * time.Second, 2500 * time.Millisecond, 150 * time.Millisecond},
+		"nested request, slow to answer":      {"GET", "/inner/1", 6 * time.Second, 4200 * time.Millisecond, 150 * time.Millisecond},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -81,7 +86,7 @@
 			stopping.settings.Bounds.Grace = c.grace
 			f.startNode(stopping)
 			f.waitFor("the restarted node serves", func() bool { return f.send(0, c.method, c.path, key).status == 200 })
-			booking.ServiceTime, booking.HeedsDeadline = time.Minute, true
+			booking.ServiceTime, booking.HeedsDeadline, booking.GiveUpTime = time.Minute, true, c.giveUpTime
 			stopped := make(chan struct{})
 			go func() {
 				stopping.node.Stop()
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -66,6 +66,9 @@
 	TargetFails TargetFault = "Fails"
 )
 
+// SignaturePrefix precedes the ID of a target in its signatures.
+const SignaturePrefix = "signed-"
+
 // Target is the stand-in for one target of a service.
 type Target struct {
 	ID      string
@@ -81,6 +84,8 @@
 	ServiceTime time.Duration
 	// HeedsDeadline makes a run that its deadline ends answer 504 then.
 	HeedsDeadline bool
+	// GiveUpTime is how long after the deadline such an answer is sent.
+	GiveUpTime time.Duration
 	// Calls are the nested calls made one after the other for each request.
 	Calls []Call
 	// WarmAt is the time from which the target is no longer cold.
@@ -232,7 +237,7 @@
 	case TargetLosesAnswers:
 		panic(http.ErrAbortHandler)
 	case TargetEndlessBody:
-		w.Header().Set("X-Response-Signature", "signed-"+t.ID)
+		w.Header().Set("X-Response-Signature", SignaturePrefix+t.ID)
 		writeWithoutEnd(w, "x")
 		return
 	case TargetEndlessHead:
@@ -244,7 +249,8 @@
 		return
 	}
 	if left := t.runDeadline(r); t.HeedsDeadline && left < t.ServiceTime {
-		w.Header().Set("X-Response-Signature", "signed-"+t.ID)
+		time.Sleep(t.GiveUpTime)
+		w.Header().Set("X-Response-Signature", SignaturePrefix+t.ID)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
@@ -369,7 +375,7 @@
 		status = http.StatusInternalServerError
 	}
 	if fault != TargetUnsigned {
-		w.Header().Set("X-Response-Signature", "signed-"+t.ID)
+		w.Header().Set("X-Response-Signature", SignaturePrefix+t.ID)
 	}
 	text := "answer to " + r.Header.Get("X-Request-Id")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
