Soak: silent connections, callers that leave, and what targets say of themselves

The proxy can stall the open connections for good. Five percent of the callers leave within 0.2 s. New checks, each shown a record that breaks it: no request runs more than 0.5 s after its caller has left; a target gets no more than 1.5 times the limit that it names, and 5, in 4 s from the nodes that passed it on; a node that has passed on that a target leaves sends it nothing 2 s later.

--- a/stand/grind/callers.go
+++ b/stand/grind/callers.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,7 +79,11 @@
 		}
 		o := c.randomRequest(random)
 		o.ID, o.VM = fmt.Sprintf("%s-%d", name, n), v.name
-		send(client, v.address(portCallers), &o)
+		patience := 2 * requestDeadline
+		if random.IntN(100) < leavingPercent {
+			patience = time.Duration(random.Int64N(int64(maxPatience)))
+		}
+		send(client, v.address(portCallers), patience, &o)
 		c.mu.Lock()
 		c.outcomes = append(c.outcomes, o)
 		c.mu.Unlock()
@@ -93,6 +98,10 @@
 	// withdrawnKeyPercent is the percentage of requests with a withdrawn key. All
 	// others have the key in force.
 	withdrawnKeyPercent = 5
+	// leavingPercent is the percentage of requests whose callers wait for the answer at
+	// most a random time up to maxPatience.
+	leavingPercent = 5
+	maxPatience    = 200 * time.Millisecond
 )
 
 // randomRequest returns a request with a random workspace, route and key. It is
@@ -109,16 +118,23 @@
 	return o
 }
 
-// send sends the request that o describes and sets the times and the answer in o.
-// The body is an empty stream, so that net/http cannot retry the request.
-func send(client *http.Client, address string, o *Outcome) {
+// send sends the request that o describes and sets the times and the answer in o. It
+// closes the connection if there is no answer after the time patience. The body is an empty stream, so that net/http cannot retry the request.
+func send(client *http.Client, address string, patience time.Duration, o *Outcome) {
 	method := http.MethodGet
 	if !o.Idempotent {
 		method = http.MethodPost
 	}
 	o.Sent = time.Now()
-	defer func() { o.Received = time.Now() }()
-	r, err := http.NewRequest(method, "http://"+address+"/"+o.Route+"/1", io.NopCloser(io.LimitReader(emptyReader{}, 0)))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	defer func() {
+		o.Received = time.Now()
+		if o.Status == 0 && ctx.Err() != nil {
+			o.LeftAt = o.Received
+		}
+	}()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/"+o.Route+"/1", io.NopCloser(io.LimitReader(emptyReader{}, 0)))
 	if err != nil {
 		return
 	}
@@ -136,7 +152,10 @@
 		return
 	}
 	o.Status = response.StatusCode
-	isCorrect := string(body) == "answer to "+o.ID && response.Header.Get("X-Response-Signature") != ""
+	signature := response.Header.Get("X-Response-Signature")
+	o.Target = strings.TrimPrefix(signature, plat.SignaturePrefix)
+	o.NamesRateLimit, o.SaysLeaving = response.Header.Get(headerRateLimit) != "", response.Header.Get(headerLeaving) != ""
+	isCorrect := string(body) == "answer to "+o.ID && signature != ""
 	o.WrongAnswer = o.Status == http.StatusOK && !isCorrect
 }
 
--- a/stand/grind/check.go
+++ b/stand/grind/check.go
@@ -30,6 +30,16 @@
 	// storeDisturbanceMargin is added to time bounds to allow for disturbances of
 	// the store.
 	storeDisturbanceMargin = 5 * time.Second
+	// leftBound is how long after its caller has left a request may still reach a target.
+	leftBound = 500 * time.Millisecond
+
+	// From settleTime after it first named its rate limit, a target may in each
+	// limitWindow get at most limit × limitWindow × limitOverage + limitSlack requests
+	// from the nodes that had passed the limit on limitKnownAfter before.
+	limitWindow     = 4 * time.Second
+	limitOverage    = 1.5
+	limitSlack      = 5
+	limitKnownAfter = 500 * time.Millisecond
 
 	// In each rateWindow a workspace may have at most (rate × rateWindow + burst) ×
 	// (1 + rateOverage) + rateSlack runs.
@@ -67,6 +77,13 @@
 	// wrong body.
 	WrongAnswer    bool
 	Sent, Received time.Time
+	// LeftAt is when the caller closed its connection without waiting for the answer,
+	// zero if it did not.
+	LeftAt time.Time
+	// Target is the ID of the target that made the answer, or "".
+	Target string
+	// NamesRateLimit and SaysLeaving report what the target said of itself in the answer.
+	NamesRateLimit, SaysLeaving bool
 }
 
 // Execution is a run with the VM and availability zone of its target.
@@ -93,6 +110,10 @@
 	TargetLeaves ChangeKind = "TargetLeaves"
 	// TargetBegins is the start of a new incarnation of a target.
 	TargetBegins ChangeKind = "TargetBegins"
+	// RateLimitNamed is the start of the time in which a target names a rate limit in its
+	// responses, and RateLimitEnded the end.
+	RateLimitNamed ChangeKind = "RateLimitNamed"
+	RateLimitEnded ChangeKind = "RateLimitEnded"
 )
 
 // Change is one change in the fleet.
@@ -105,7 +126,8 @@
 	Object string
 	// VM is the VM of a target. It is "" unless Object is a target.
 	VM string
-	// Rate, in requests per second, and Burst are set only if Kind is RateSet.
+	// Rate, in requests per second, is set only if Kind is RateSet or RateLimitNamed, and
+	// Burst only if it is RateSet.
 	Rate, Burst float64
 	// ColdFor is how long the new incarnation stays cold. It is set only if Kind is
 	// TargetBegins.
@@ -137,16 +159,21 @@
 // checker collects the violations of guarantees in a record.
 type checker struct {
 	*Record
-	runsByID   map[string][]Execution
+	runsByID map[string][]Execution
+	// vmOf is the VM of each request of a caller, by request ID.
+	vmOf       map[string]string
 	violations []string
 }
 
 // Check returns one line for each violation of a guarantee. The lines are sorted.
 func Check(r *Record) []string {
-	c := &checker{Record: r, runsByID: make(map[string][]Execution)}
+	c := &checker{Record: r, runsByID: make(map[string][]Execution), vmOf: make(map[string]string, len(r.Outcomes))}
 	for _, run := range r.Runs {
 		c.runsByID[run.ID] = append(c.runsByID[run.ID], run)
 	}
+	for _, o := range r.Outcomes {
+		c.vmOf[o.ID] = o.VM
+	}
 	for i := range r.Outcomes {
 		c.checkOutcome(&r.Outcomes[i])
 	}
@@ -180,7 +207,7 @@
 	if o.Status == http.StatusOK && len(runs) == 0 {
 		c.addViolation("a request answered with 200 has run", "%s", summary)
 	}
-	if o.Status == 0 && len(runs) > 0 && c.Stopping(o.VM, o.Sent, o.Received) && !c.anyDisturbed(o.Sent.Add(-settleTime), o.Received) {
+	if o.Status == 0 && o.LeftAt.IsZero() && len(runs) > 0 && c.Stopping(o.VM, o.Sent, o.Received) && !c.anyDisturbed(o.Sent.Add(-settleTime), o.Received) {
 		c.addViolation("a planned stop interrupts no request", "%s", summary)
 	}
 	for _, r := range runs {
@@ -191,10 +218,24 @@
 			c.addViolation("a run gets no more time than its caller allows", "%s", summary)
 		}
 	}
+	c.checkLeft(o, summary)
 	c.checkKey(o, summary)
 	c.checkRoute(o, summary)
 }
 
+// checkLeft checks that a request does not run at a target after its caller has left.
+func (c *checker) checkLeft(o *Outcome, summary string) {
+	for _, r := range c.runsByID[o.ID] {
+		if o.LeftAt.IsZero() || !r.At.After(o.LeftAt.Add(leftBound)) {
+			continue
+		}
+		if from := o.Sent.Add(-settleTime); c.Disturbed(o.VM, from, r.At) || c.Disturbed(r.VM, from, r.At) {
+			continue
+		}
+		c.addViolation("a request is not sent on after its caller has left", "%s, run at %s %s after that", summary, r.VM, r.At.Sub(o.LeftAt))
+	}
+}
+
 // anyDisturbed reports whether any component was disturbed at any time between from
 // and to.
 func (c *checker) anyDisturbed(from, to time.Time) bool { return c.Disturbed("", from, to) }
@@ -370,14 +411,17 @@
 	for _, r := range c.Runs {
 		byTarget[r.ExpectedTarget] = append(byTarget[r.ExpectedTarget], r)
 	}
-	for _, change := range c.Changes {
+	for i, change := range c.Changes {
 		switch change.Kind {
 		case TargetLeaves:
 			c.checkDraining(change, byTarget[change.Object])
 		case TargetBegins:
 			c.checkColdTarget(change, byTarget[change.Object])
+		case RateLimitNamed:
+			c.checkRateLimit(change, c.nextChange(i, RateLimitEnded, change.Object), byTarget[change.Object])
 		}
 	}
+	c.checkSaidLeaving(byTarget)
 }
 
 // checkDraining checks that a target gets no new requests after drainBound. The
@@ -455,10 +499,10 @@
 // countServed counts the requests sent at or after a time, and how many of them were
 // served. It leaves out requests that a node may rightly refuse: those on the
 // temporary route, those whose key was refused, and those beyond the rate of their
-// workspace. If from is zero, it counts no request.
+// workspace. It also leaves out those whose callers left. If from is zero, it counts no request.
 func countServed(outcomes []Outcome, from time.Time) (served, counted int) {
 	for _, o := range outcomes {
-		if from.IsZero() || o.Sent.Before(from) || strings.HasPrefix(o.Route, temporaryRoute) {
+		if from.IsZero() || o.Sent.Before(from) || !o.LeftAt.IsZero() || strings.HasPrefix(o.Route, temporaryRoute) {
 			continue
 		}
 		if o.Status == http.StatusUnauthorized || o.Status == http.StatusTooManyRequests {
--- a/stand/grind/check_test.go
+++ b/stand/grind/check_test.go
@@ -185,6 +185,49 @@
 			r.Stopping = always
 			addRequest(r, 20, 1, withStatus(0))
 		}, "planned stop"},
+		{"caller left just before", func(r *grind.Record) {
+			addRequest(r, 20, 1, func(o *grind.Outcome, run *grind.Execution) { o.Status, o.LeftAt, run.At = 0, at(20.1), at(20.6) })
+		}, ""},
+		{"caller left long before", func(r *grind.Record) {
+			addRequest(r, 20, 1, func(o *grind.Outcome, run *grind.Execution) { o.Status, o.LeftAt, run.At = 0, at(20.1), at(20.61) })
+		}, "has left"},
+		{"caller left long before, on a disturbed node", func(r *grind.Record) {
+			r.Disturbed = always
+			addRequest(r, 20, 1, func(o *grind.Outcome, run *grind.Execution) { o.Status, o.LeftAt, run.At = 0, at(20.1), at(20.61) })
+		}, ""},
+		{"caller left during a planned stop", func(r *grind.Record) {
+			r.Stopping = always
+			addRequest(r, 20, 1, func(o *grind.Outcome, _ *grind.Execution) { o.Status, o.LeftAt = 0, at(20.1) })
+		}, ""},
+		{"more than the limit of a target", func(r *grind.Record) { addLimited(r, 36) }, "limit that it names"},
+		{"as much as the limit of a target allows", func(r *grind.Record) { addLimited(r, 35) }, ""},
+		{"more than the limit, on disturbed nodes", func(r *grind.Record) {
+			r.Disturbed = always
+			addLimited(r, 36)
+		}, ""},
+		{"more nested requests than the limit of a target", func(r *grind.Record) {
+			addLimited(r, 1)
+			addRequest(r, 19, 1, func(o *grind.Outcome, run *grind.Execution) { o.ID, run.ID, run.VM = "parent-7", "parent-7", "vm-1" })
+			for range 35 {
+				r.Runs = append(r.Runs, grind.Execution{Run: plat.Run{At: at(20), ID: "parent-7-search-1", ExpectedTarget: "i-2", DeadlineMillis: 100}, VM: "vm-2"})
+			}
+		}, "limit that it names"},
+		{"after a limit has ended", func(r *grind.Record) {
+			addLimited(r, 36)
+			addChange(r, grind.Change{At: at(19), Kind: grind.RateLimitEnded, Object: "i-2"})
+		}, ""},
+		{"sent to a target that has said that it leaves", func(r *grind.Record) {
+			addRequest(r, 20, 1, func(o *grind.Outcome, _ *grind.Execution) { o.Target, o.SaysLeaving = "i-2", true })
+			addRequest(r, 22.02, 1, unchanged)
+		}, "says in its responses"},
+		{"sent to a target that another node knows to leave", func(r *grind.Record) {
+			addRequest(r, 20, 1, func(o *grind.Outcome, _ *grind.Execution) { o.Target, o.SaysLeaving = "i-2", true })
+			addRequest(r, 22.02, 1, func(o *grind.Outcome, _ *grind.Execution) { o.VM = "vm-3" })
+		}, ""},
+		{"sent to a target soon after it has said that it leaves", func(r *grind.Record) {
+			addRequest(r, 20, 1, func(o *grind.Outcome, _ *grind.Execution) { o.Target, o.SaysLeaving = "i-2", true })
+			addRequest(r, 22, 1, unchanged)
+		}, ""},
 		{"too many retries", func(r *grind.Record) { r.Arrivals["search"] = makeArrivals(100, 71) }, "retries are bounded"},
 		{"retries within the bound", func(r *grind.Record) { r.Arrivals["search"] = makeArrivals(100, 70) }, ""},
 	}
@@ -197,6 +240,16 @@
 	}
 }
 
+// addLimited adds n requests to a target that names a limit of 5 requests a second, after
+// one whose answer names it.
+func addLimited(r *grind.Record, n int) {
+	r.Changes = append(r.Changes, grind.Change{At: at(15), Kind: grind.RateLimitNamed, Object: "i-2", Rate: 5})
+	addRequest(r, 16, 1, func(o *grind.Outcome, _ *grind.Execution) { o.Target, o.NamesRateLimit = "i-2", true })
+	for range n {
+		addRequest(r, 20, 1, unchanged)
+	}
+}
+
 // makeArrivals returns the first arrivals of distinct requests, followed by retries
 // of these requests.
 func makeArrivals(firstAttempts, retries int) []plat.Arrival {
--- a/stand/grind/faults.go
+++ b/stand/grind/faults.go
@@ -53,6 +53,51 @@
 	sleep(ctx, minActionGap+time.Duration(random.Int64N(int64(maxActionGap-minActionGap))))
 }
 
+// The pause between two side actions, and the times for which a target names a rate limit.
+// The limit is checked from settleTime after it was named.
+const (
+	maxSideActionGap = 3 * time.Second
+	minLimitTime     = settleTime + time.Second
+	maxLimitTime     = settleTime + 2*limitWindow
+	maxNamedLimit    = 40
+)
+
+// runSideActions runs actions beside those of runAction until ctx ends: connections fall
+// silent, targets name rate limits, and targets leave that announce it in their responses
+// only. The actions of runAction that a seed stands for do not depend on them.
+func (c *cluster) runSideActions(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		v := c.vms[random.IntN(len(c.vms))]
+		const stallKinds, targetKinds = 2, 2
+		kind := random.IntN(stallKinds + targetKinds)
+		if c.options.Plan == PlanWork {
+			kind = stallKinds + kind%targetKinds
+		}
+		c.logEvent(c.runSideAction(ctx, random, kind, v) + " at " + v.name)
+		sleep(ctx, time.Duration(random.Int64N(int64(maxSideActionGap))))
+	}
+}
+
+// runSideAction runs one side action and returns its description.
+func (c *cluster) runSideAction(ctx context.Context, random *rand.Rand, kind int, v *vm) string {
+	switch kind {
+	case 0:
+		c.history.addDisturbance(storeName, time.Now(), 0)
+		c.storeLink.Stall()
+		return "open connections to the store fall silent"
+	case 1:
+		c.history.addDisturbance(v.name, time.Now(), 0)
+		v.targetLink.Stall()
+		return "open connections to the target fall silent"
+	case 2:
+		rate := random.IntN(maxNamedLimit)
+		c.limitRate(ctx, v, rate, minLimitTime+time.Duration(random.Int64N(int64(maxLimitTime-minLimitTime))))
+		return fmt.Sprintf("target names a limit of %d requests per second", rate)
+	}
+	c.replaceQuietTarget(ctx, v)
+	return "replace the target, which announces it in its responses only"
+}
+
 // performMaintenance performs one maintenance action and returns its
 // description.
 func (c *cluster) performMaintenance(ctx context.Context, random *rand.Rand, kind int, v *vm) string {
--- a/stand/grind/grind.go
+++ b/stand/grind/grind.go
@@ -95,10 +95,7 @@
 	sleep(ctx, startupTime)
 	callers := newCallers(c)
 	callers.start(ctx)
-	random := rand.New(rand.NewPCG(o.Seed, 0))
-	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
-		c.runAction(ctx, random)
-	}
+	c.runActions(ctx)
 	c.endFaults()
 	callers.requireServiceFrom(time.Now().Add(min(recoveryTime, o.FaultFreeDuration/2)))
 	sleep(ctx, o.FaultFreeDuration)
@@ -107,6 +104,22 @@
 	return errors.Join(stopErr, c.writeEvents(), callers.report(o.Streams.Out))
 }
 
+// runActions runs the actions of the plan for Options.FaultDuration.
+func (c *cluster) runActions(ctx context.Context) {
+	const mainActions, sideActions = 0, 1 << 32
+	sideCtx, endSideActions := context.WithCancel(ctx)
+	var side sync.WaitGroup
+	if c.options.FaultDuration > 0 {
+		side.Go(func() { c.runSideActions(sideCtx, rand.New(rand.NewPCG(c.options.Seed, sideActions))) })
+	}
+	random := rand.New(rand.NewPCG(c.options.Seed, mainActions))
+	for end := time.Now().Add(c.options.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
+		c.runAction(ctx, random)
+	}
+	endSideActions()
+	side.Wait()
+}
+
 // sleep returns after d, or earlier if ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/stand/grind/targets.go
+++ b/stand/grind/targets.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,8 +33,10 @@
 	// leaves or is stopped.
 	heartbeatsPaused bool
 	isReplacing      bool
-	warmAt           time.Time
-	lastIncarnation  int
+	// limited is the target that names a rate limit, or nil.
+	limited         *plat.Target
+	warmAt          time.Time
+	lastIncarnation int
 }
 
 func (l *targetSet) current() *plat.Target {
@@ -73,6 +76,18 @@
 	return true
 }
 
+// setLimited records which target names a rate limit, nil for none. If one does
+// already, it returns false; otherwise true.
+func (l *targetSet) setLimited(target *plat.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if target != nil && l.limited != nil {
+		return false
+	}
+	l.limited = target
+	return true
+}
+
 func (l *targetSet) setHeartbeatsPaused(paused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,13 +102,16 @@
 		return
 	}
 	isPlanned := random.IntN(3) > 0
-	deregisterFirst := random.IntN(2) == 0
+	says := byHeartbeat
+	if random.IntN(2) == 0 {
+		says = byDeregistration
+	}
 	c.background.Add(1)
 	go func() {
 		defer c.background.Done()
 		defer v.targets.setReplacing(false)
 		if isPlanned {
-			c.drainTarget(ctx, v, deregisterFirst)
+			c.drainTarget(ctx, v, says)
 		}
 		if err := c.restartTarget(ctx, v); err != nil {
 			c.logEvent(err.Error())
@@ -101,27 +119,82 @@
 	}()
 }
 
+// announcement is how a target announces that it leaves, besides in its responses.
+type announcement string
+
+const (
+	byHeartbeat      announcement = "Heartbeat"
+	byDeregistration announcement = "Deregistration"
+	byResponsesOnly  announcement = "ResponsesOnly"
+)
+
 // drainTarget makes a target announce that it leaves. The target then keeps serving
-// for drainBound + extraServingTime. If deregisterFirst is set, the announcement is
-// the deregistration. Otherwise, it is a heartbeat with the state "draining", and
-// the target deregisters at the end.
-func (c *cluster) drainTarget(ctx context.Context, v *vm, deregisterFirst bool) {
+// for drainBound + extraServingTime. Unless the announcement was its deregistration, the
+// target deregisters at the end.
+func (c *cluster) drainTarget(ctx context.Context, v *vm, says announcement) {
 	target := v.targets.current()
 	v.targets.setHeartbeatsPaused(true)
-	announce := func() error { return target.SendHeartbeat(v.address(portReports), "draining", 0) }
-	if deregisterFirst {
-		announce = func() error { return target.Deregister(v.address(portReports)) }
+	target.SetHeader(headerLeaving, "1")
+	var err error
+	switch says {
+	case byHeartbeat:
+		err = target.SendHeartbeat(v.address(portReports), "draining", 0)
+	case byDeregistration:
+		err = target.Deregister(v.address(portReports))
+	case byResponsesOnly:
 	}
-	if err := announce(); err == nil {
+	if err == nil && says != byResponsesOnly {
 		c.history.addChange(Change{At: time.Now(), Kind: TargetLeaves, Object: target.ID, VM: v.name})
 	}
 	sleep(ctx, drainBound+extraServingTime)
-	if !deregisterFirst {
+	if says != byDeregistration {
 		// The target ends even when its node does not answer.
 		_ = target.Deregister(v.address(portReports))
 	}
 }
 
+// The headers in which targets say something of themselves.
+const (
+	headerLeaving   = "Server-Leaving"
+	headerRateLimit = "Server-Limit"
+)
+
+// replaceQuietTarget is replaceTarget for a target that announces only in its responses
+// that it leaves.
+func (c *cluster) replaceQuietTarget(ctx context.Context, v *vm) {
+	if !v.targets.setReplacing(true) {
+		return
+	}
+	c.background.Add(1)
+	go func() {
+		defer c.background.Done()
+		defer v.targets.setReplacing(false)
+		c.drainTarget(ctx, v, byResponsesOnly)
+		if err := c.restartTarget(ctx, v); err != nil {
+			c.logEvent(err.Error())
+		}
+	}()
+}
+
+// limitRate makes the target of a VM name a rate limit, in requests per second, in its
+// responses for the given duration. If it names one already, limitRate does nothing.
+func (c *cluster) limitRate(ctx context.Context, v *vm, rate int, duration time.Duration) {
+	target := v.targets.current()
+	if !v.targets.setLimited(target) {
+		return
+	}
+	c.history.addChange(Change{At: time.Now(), Kind: RateLimitNamed, Object: target.ID, VM: v.name, Rate: float64(rate)})
+	target.SetHeader(headerRateLimit, strconv.Itoa(rate))
+	c.background.Add(1)
+	go func() {
+		defer c.background.Done()
+		sleep(ctx, duration)
+		target.SetHeader(headerRateLimit)
+		c.history.addChange(Change{At: time.Now(), Kind: RateLimitEnded, Object: target.ID, VM: v.name})
+		v.targets.setLimited(nil)
+	}()
+}
+
 // restartTarget stops the current incarnation and starts the next.
 func (c *cluster) restartTarget(ctx context.Context, v *vm) error {
 	v.targets.setHeartbeatsPaused(true)
--- a/stand/proxy/proxy.go
+++ b/stand/proxy/proxy.go
@@ -1,5 +1,5 @@
-// Package proxy is a TCP proxy that injects network faults: delay, reset, and
-// loss of data in one or both directions.
+// Package proxy is a TCP proxy that injects network faults: delay, reset, loss of data
+// in one or both directions, and connections that fall silent for good.
 package proxy
 
 import (
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,9 +42,14 @@
 
 	mu    sync.Mutex
 	fault Fault
-	// conns has the connection from the caller and the connection to the
-	// destination of each forwarded connection.
-	conns map[net.Conn]bool
+	conns map[*forwardedConn]bool
+}
+
+// forwardedConn is a connection from a caller and the one to the destination.
+type forwardedConn struct {
+	caller, destination net.Conn
+	// isStalled is set if data and ends are discarded in both directions.
+	isStalled atomic.Bool
 }
 
 // New starts a proxy that listens on one address and forwards connections to
@@ -53,7 +59,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start proxy: %w", err)
 	}
-	p := &Proxy{listener: listener, destinationAddress: destinationAddress, fault: Clean, conns: make(map[net.Conn]bool)}
+	p := &Proxy{listener: listener, destinationAddress: destinationAddress, fault: Clean, conns: make(map[*forwardedConn]bool)}
 	go p.acceptLoop()
 	return p, nil
 }
@@ -87,11 +93,22 @@
 	return p.fault
 }
 
+// Stall makes the open connections fall silent for good: neither their data nor their
+// ends are forwarded. New connections are not affected.
+func (p *Proxy) Stall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.isStalled.Store(true)
+	}
+}
+
 func (p *Proxy) resetAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		reset(c)
+		reset(c.caller)
+		reset(c.destination)
 	}
 }
 
@@ -125,43 +142,41 @@
 		reset(caller)
 		return
 	}
-	p.track(caller, destination)
+	c := &forwardedConn{caller: caller, destination: destination}
+	p.track(c)
 	var directions sync.WaitGroup
 	directions.Add(2)
 	go func() {
 		defer directions.Done()
-		p.forward(destination, caller, false)
+		p.forward(c, destination, caller, false)
 	}()
 	go func() {
 		defer directions.Done()
-		p.forward(caller, destination, true)
+		p.forward(c, caller, destination, true)
 	}()
 	directions.Wait()
-	p.closeConns(caller, destination)
+	p.closeConn(c)
 }
 
-// track adds connections to conns.
-func (p *Proxy) track(conns ...net.Conn) {
+// track adds a connection to conns.
+func (p *Proxy) track(c *forwardedConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
-	}
+	p.conns[c] = true
 }
 
-// closeConns closes connections and removes them from conns.
-func (p *Proxy) closeConns(conns ...net.Conn) {
+// closeConn closes a connection and removes it from conns.
+func (p *Proxy) closeConn(c *forwardedConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		delete(p.conns, c)
-		_ = c.Close()
-	}
+	delete(p.conns, c)
+	_ = c.caller.Close()
+	_ = c.destination.Close()
 }
 
-// forward copies data between two connections with the current fault, until
+// forward copies the data of c from one side to the other with the current fault, until
 // reading or writing fails. toCaller is whether the data flows to the caller.
-func (p *Proxy) forward(to, from net.Conn, toCaller bool) {
+func (p *Proxy) forward(c *forwardedConn, to, from net.Conn, toCaller bool) {
 	chunk := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(chunk)
@@ -169,14 +184,17 @@
 		if n > 0 && fault == Delayed {
 			time.Sleep(rand.N(maxDelay))
 		}
-		if n > 0 && fault != Silent && (fault != OneWay || !toCaller) {
+		isDiscarded := c.isStalled.Load() || fault == Silent || fault == OneWay && toCaller
+		if n > 0 && !isDiscarded {
 			if _, err := to.Write(chunk[:n]); err != nil {
 				reset(from)
 				return
 			}
 		}
 		if err != nil {
-			closeWrite(to)
+			if !c.isStalled.Load() {
+				closeWrite(to)
+			}
 			return
 		}
 	}
--- a/stand/proxy/proxy_test.go
+++ b/stand/proxy/proxy_test.go
@@ -116,3 +116,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, text, line)
 }
+
+func TestStalledConnectionsStaySilentAndNewOnesWork(t *testing.T) {
+	t.Parallel()
+	const longWait, shortWait = 20 * time.Second, 300 * time.Millisecond
+	address, lines := startEchoServer(t)
+	p, err := proxy.New("127.0.0.1:0", address)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, p.Close()) }()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = exchange(c, longWait)
+		assert.NilError(t, err)
+		return c
+	}
+	stalled := dial()
+	p.Stall()
+	_, err = exchange(stalled, shortWait)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	dial()
+	_, err = exchange(stalled, shortWait)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	assert.Equal(t, lines.Load(), int64(2))
+}
