Soak: targets that leave announce it in one way only

Review of: a target that leaves by heartbeat or deregistration said so in its responses too, so that the soak no longer tested those announcements alone. Now each of the three ways is played by itself.

--- a/stand/grind/callers.go
+++ b/stand/grind/callers.go
@@ -119,7 +119,8 @@
 }
 
 // send sends the request that o describes and sets the times and the answer in o. It
-// closes the connection if there is no answer after the time patience. The body is an empty stream, so that net/http cannot retry the request.
+// closes the connection if there is no answer after the time patience. The body is an
+// empty stream, so that net/http cannot retry the request.
 func send(client *http.Client, address string, patience time.Duration, o *Outcome) {
 	method := http.MethodGet
 	if !o.Idempotent {
--- a/stand/grind/check.go
+++ b/stand/grind/check.go
@@ -499,7 +499,8 @@
 // countServed counts the requests sent at or after a time, and how many of them were
 // served. It leaves out requests that a node may rightly refuse: those on the
 // temporary route, those whose key was refused, and those beyond the rate of their
-// workspace. It also leaves out those whose callers left. If from is zero, it counts no request.
+// workspace. It also leaves out those whose callers left. If from is zero, it counts no
+// request.
 func countServed(outcomes []Outcome, from time.Time) (served, counted int) {
 	for _, o := range outcomes {
 		if from.IsZero() || o.Sent.Before(from) || !o.LeftAt.IsZero() || strings.HasPrefix(o.Route, temporaryRoute) {
--- a/stand/grind/targets.go
+++ b/stand/grind/targets.go
@@ -119,13 +119,13 @@
 	}()
 }
 
-// announcement is how a target announces that it leaves, besides in its responses.
+// announcement is how a target announces that it leaves.
 type announcement string
 
 const (
 	byHeartbeat      announcement = "Heartbeat"
 	byDeregistration announcement = "Deregistration"
-	byResponsesOnly  announcement = "ResponsesOnly"
+	byResponses      announcement = "Responses"
 )
 
 // drainTarget makes a target announce that it leaves. The target then keeps serving
@@ -134,16 +134,16 @@
 func (c *cluster) drainTarget(ctx context.Context, v *vm, says announcement) {
 	target := v.targets.current()
 	v.targets.setHeartbeatsPaused(true)
-	target.SetHeader(headerLeaving, "1")
 	var err error
 	switch says {
 	case byHeartbeat:
 		err = target.SendHeartbeat(v.address(portReports), "draining", 0)
 	case byDeregistration:
 		err = target.Deregister(v.address(portReports))
-	case byResponsesOnly:
+	case byResponses:
+		target.SetHeader(headerLeaving, "1")
 	}
-	if err == nil && says != byResponsesOnly {
+	if err == nil && says != byResponses {
 		c.history.addChange(Change{At: time.Now(), Kind: TargetLeaves, Object: target.ID, VM: v.name})
 	}
 	sleep(ctx, drainBound+extraServingTime)
@@ -169,7 +169,7 @@
 	go func() {
 		defer c.background.Done()
 		defer v.targets.setReplacing(false)
-		c.drainTarget(ctx, v, byResponsesOnly)
+		c.drainTarget(ctx, v, byResponses)
 		if err := c.restartTarget(ctx, v); err != nil {
 			c.logEvent(err.Error())
 		}
