Keep the node of a stop test busy without its targets

- The request that keeps the stopping node busy has a key.
A node that had just restarted refused it with 429 (OverRate), went idle and stopped before the late request came.
- That request also hung at the only target of its service, which then counted as in doubt (no response for 1.25 s); a late request that came within the 2 ms until its next check was refused with 503, NoTarget, truthfully.

The node is now kept busy by a request whose body does not arrive, and the stop begins when the node reads it.

--- a/stand/plat/stops_test.go
+++ b/stand/plat/stops_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -87,16 +88,12 @@
 			f.startNode(stopping)
 			f.waitFor("the restarted node serves", func() bool { return f.send(0, c.method, c.path, key).status == 200 })
 			booking.ServiceTime, booking.HeedsDeadline, booking.GiveUpTime = time.Minute, true, c.giveUpTime
+			f.sendWithoutBody(stopping)
 			stopped := make(chan struct{})
 			go func() {
 				stopping.node.Stop()
 				close(stopped)
 			}()
-			// Another request keeps the node busy.
-			go f.sendWith(0, "POST", "/book/1", func(r *http.Request) {
-				r.Header.Set("X-Key", key)
-				r.Header.Set("X-Deadline-Milliseconds", "60000")
-			})
 			time.Sleep(c.at)
 			a := f.sendWith(0, c.method, c.path, func(r *http.Request) {
 				r.Header.Set("X-Key", key)
@@ -109,6 +106,20 @@
 	}
 }
 
+// sendWithoutBody keeps the node of a VM busy with a request whose body does not arrive. It
+// returns when the node reads the body.
+func (f *fleet) sendWithoutBody(v *vm) {
+	c, err := net.Dial("tcp", v.settings.CallerAddress)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "POST /inner/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: without-body\r\nX-Deadline-Milliseconds: 60000\r\n"+
+		"Content-Length: 10\r\nExpect: 100-continue\r\n\r\n", host)
+	assert.NilError(f.t, err)
+	line, err := bufio.NewReader(c).ReadString('\n')
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, strings.TrimSpace(line), "HTTP/1.1 100 Continue")
+}
+
 const settingsFile = `node_name = "vm-0"
 ip = "%s"
 zone = "zone-0"
