Add no tokens of a rate limit twice when times are out of order

Cause: callers of the gate read the time before they wait for their lock. A call with an earlier time than the last one set the time of the last refill back, and the next call added the tokens of the time in between once more. Class: a state that follows a clock must not go back with it; the buckets of the cold rate, of workspaces and of gossip check for this already, and the gate's new one did not.

Change: the time of the last refill never goes back.

--- a/gage/state/slots/rate_test.go
+++ b/gage/state/slots/rate_test.go
@@ -52,6 +52,27 @@
 	})
 }
 
+// A busy node read the time before it waited for its lock, so that the gate was given
+// times out of order. Each step back added the tokens of the time in between once more: a
+// target got 243 requests in 4 s with a limit of 30 a second.
+func TestTimesOutOfOrderAddNoTokens(t *testing.T) {
+	const rate, step, lag, end = 30, 10, 50, 4000
+	g := slots.New(start, 100)
+	g.SetRate(start, rate)
+	granted := 0
+	for now := 0; now < end; now += step {
+		for _, late := range []int{0, lag} {
+			ticket := g.Submit(at(now-late), slots.Request{WaitUntil: at(now - late + 1)})
+			if isGranted(ticket) {
+				granted++
+				g.Done(at(now-late), ticket)
+			}
+		}
+	}
+	assert.Assert(t, granted <= rate*end/1000+3+rate/10+1, "%d", granted)
+	assert.Assert(t, granted >= rate*end/1000, "%d", granted)
+}
+
 func TestRateLimitIsUsedInFull(t *testing.T) {
 	const rate = 40
 	g := slots.New(start, 100)
--- a/gage/state/slots/slots.go
+++ b/gage/state/slots/slots.go
@@ -134,10 +134,11 @@
 // RateLimited reports whether the target has set a limit of its rate.
 func (g *Gate) RateLimited() bool { return !math.IsInf(g.rate, 1) }
 
-// refillRate adds the tokens of the time since the last call.
+// refillRate adds the tokens of the time since the last call. The time may be before that
+// of the last call, since callers read it before they wait for their lock.
 func (g *Gate) refillRate(now time.Time) {
 	elapsed := max(now.Sub(g.rateRefilledAt), 0)
-	g.rateRefilledAt = now
+	g.rateRefilledAt = g.rateRefilledAt.Add(elapsed)
 	if !g.RateLimited() {
 		return
 	}
