Answer 504 for a body that stalls until the deadline, also on a busy machine

Both say that the request may have run.

Cause, from the log: the HTTP server cancels the context of a request when the read deadline of its body passes. That deadline is the one of the context itself, whose own timer had not fired yet, so that the end counted as the caller's leaving. Class: two timers for one moment.

Change: a context that is canceled at or after its deadline has ended for the deadline.

Evidence: the trace.

--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -84,7 +84,7 @@
 	}
 	response, err := m.peerClient.Do(ctx, now, address, w.hopRequest(header))
 	if err != nil {
-		return sendFailure(ctx, err)
+		return sendFailure(ctx, m.options.Clock.Now(), err)
 	}
 	load := parseLoad(response.Header.Get(headerLoad))
 	outcome := gage.Outcome(response.Header.Get(headerOutcome))
@@ -92,7 +92,7 @@
 	detail := response.Header.Get(headerDetail)
 	rejectedByTarget := response.Header.Get(headerArrived) != ""
 	overloadedService := response.Header.Get(headerOverloaded)
-	r := readResponse(ctx, response)
+	r := m.readResponse(ctx, response)
 	r.load, r.overloadedService = load, overloadedService
 	if reason == gage.ReasonNone && outcome == gage.OutcomeRan {
 		return r
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -209,9 +209,9 @@
 // or error.
 func (m *Mesh) targetResult(ctx context.Context, response *hop.Response, err error) attemptResult {
 	if err != nil {
-		return sendFailure(ctx, err)
+		return sendFailure(ctx, m.options.Clock.Now(), err)
 	}
-	r := readResponse(ctx, response)
+	r := m.readResponse(ctx, response)
 	if r.outcome != gage.OutcomeRan {
 		return r
 	}
@@ -231,7 +231,7 @@
 
 // sendFailure returns the result of a request that got no response. The outcome
 // is unknown if any of the request may have been sent.
-func sendFailure(ctx context.Context, err error) attemptResult {
+func sendFailure(ctx context.Context, now time.Time, err error) attemptResult {
 	var failure *hop.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
 	reason := gage.ReasonBroken
@@ -246,6 +246,11 @@
 		reason = gage.ReasonDeadline
 	case ctx.Err() != nil:
 		reason = gage.ReasonCanceled
+		// At the deadline of a body the HTTP server cancels ctx, which has the same
+		// deadline and may not have noticed it.
+		if deadline, ok := ctx.Deadline(); ok && !now.Before(deadline) {
+			reason = gage.ReasonDeadline
+		}
 	case !sent:
 		reason = gage.ReasonUnreached
 	}
@@ -261,7 +266,7 @@
 
 // readResponse reads a response and buffers its body if it is short enough. The
 // body of a longer response is left in bodyRest.
-func readResponse(ctx context.Context, response *hop.Response) attemptResult {
+func (m *Mesh) readResponse(ctx context.Context, response *hop.Response) attemptResult {
 	r := attemptResult{outcome: gage.OutcomeRan, status: response.Status, header: response.Header, length: response.Length}
 	var err error
 	if response.Length > maxBufferedBytes {
@@ -287,7 +292,7 @@
 	if err == nil {
 		return r
 	}
-	truncatedResult := sendFailure(ctx, &hop.Failure{Sent: true, Err: err})
+	truncatedResult := sendFailure(ctx, m.options.Clock.Now(), &hop.Failure{Sent: true, Err: err})
 	truncatedResult.detail = "the response was truncated: " + err.Error()
 	return truncatedResult
 }
