Accept a true refusal in the test of answers without end

Trace: the target had sent no response for 1.25 s, so that its node took it as in doubt (TargetInDoubt), and refused the request as TargetSuspect; it never reached the target. A refusal that says truthfully that a request has not run is allowed. The test now asks of a 503 that the target has no run of the request; all else is as before.

--- a/stand/plat/endless_test.go
+++ b/stand/plat/endless_test.go
@@ -29,7 +29,9 @@
 						r.Header.Set("X-Key", key)
 						r.Header.Set("X-Deadline-Milliseconds", "1500")
 					})
-					assert.Check(t, a.status == 0 || a.status == 502 || a.status == 504, "%d", a.status)
+					// A target without responses counts as in doubt after a while.
+					isRefused := a.status == 503 && len(f.runs(a.header.Get("X-Request-Id"))) == 0
+					assert.Check(t, a.status == 0 || a.status == 502 || a.status == 504 || isRefused, "%d", a.status)
 					assert.Check(t, time.Since(start) < 2*time.Second, "%s", time.Since(start))
 				})
 			}
