--- a/stand/proxy/proxy_test.go
+++ b/stand/proxy/proxy_test.go
@@ -65,19 +65,28 @@
 	return string(text[:n]), err
 }
 
-func TestEachFault(t *testing.T) {
-	t.Parallel()
-	const longWait, shortWait = 20 * time.Second, 300 * time.Millisecond
+// The times to wait for an answer, and to see that none comes.
+const longWait, shortWait = 20 * time.Second, 300 * time.Millisecond
+
+// startProxy starts a proxy in front of an echo server. It returns the proxy, a function
+// that opens a connection to it, and the number of lines that the server has received.
+func startProxy(t *testing.T) (p *proxy.Proxy, dial func() net.Conn, lines *atomic.Int64) {
+	t.Helper()
 	address, lines := startEchoServer(t)
 	p, err := proxy.New("127.0.0.1:0", address)
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, p.Close()) }()
-	dial := func() net.Conn {
+	t.Cleanup(func() { assert.Check(t, p.Close()) })
+	return p, func() net.Conn {
 		c, err := net.Dial("tcp", p.Address())
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = c.Close() })
 		return c
-	}
+	}, lines
+}
+
+func TestEachFault(t *testing.T) {
+	t.Parallel()
+	p, dial, lines := startProxy(t)
 	for _, fault := range []proxy.Fault{proxy.Clean, proxy.Delayed} {
 		p.SetFault(fault)
 		text, err := exchange(dial(), longWait)
@@ -87,7 +96,7 @@
 
 	p.SetFault(proxy.Clean)
 	open := dial()
-	_, err = exchange(open, longWait)
+	_, err := exchange(open, longWait)
 	assert.NilError(t, err)
 	before := lines.Load()
 	p.SetFault(proxy.OneWay)
@@ -119,24 +128,15 @@
 
 func TestStalledConnectionsStaySilentAndNewOnesWork(t *testing.T) {
 	t.Parallel()
-	const longWait, shortWait = 20 * time.Second, 300 * time.Millisecond
-	address, lines := startEchoServer(t)
-	p, err := proxy.New("127.0.0.1:0", address)
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, p.Close()) }()
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", p.Address())
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = c.Close() })
-		_, err = exchange(c, longWait)
-		assert.NilError(t, err)
-		return c
-	}
+	p, dial, lines := startProxy(t)
 	stalled := dial()
+	_, err := exchange(stalled, longWait)
+	assert.NilError(t, err)
 	p.Stall()
 	_, err = exchange(stalled, shortWait)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
-	dial()
+	_, err = exchange(dial(), longWait)
+	assert.NilError(t, err)
 	_, err = exchange(stalled, shortWait)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 	assert.Equal(t, lines.Load(), int64(2))
