--- a/stand/grind/check.go
+++ b/stand/grind/check.go
@@ -33,14 +33,6 @@
 	// leftBound is how long after its caller has left a request may still reach a target.
 	leftBound = 500 * time.Millisecond
 
-	// From settleTime after it first named its rate limit, a target may in each
-	// limitWindow get at most limit × limitWindow × limitOverage + limitSlack requests
-	// from the nodes that had passed the limit on limitKnownAfter before.
-	limitWindow     = 4 * time.Second
-	limitOverage    = 1.5
-	limitSlack      = 5
-	limitKnownAfter = 500 * time.Millisecond
-
 	// In each rateWindow a workspace may have at most (rate × rateWindow + burst) ×
 	// (1 + rateOverage) + rateSlack runs.
 	rateWindow  = 5 * time.Second
@@ -223,19 +215,6 @@
 	c.checkRoute(o, summary)
 }
 
-// checkLeft checks that a request does not run at a target after its caller has left.
-func (c *checker) checkLeft(o *Outcome, summary string) {
-	for _, r := range c.runsByID[o.ID] {
-		if o.LeftAt.IsZero() || !r.At.After(o.LeftAt.Add(leftBound)) {
-			continue
-		}
-		if from := o.Sent.Add(-settleTime); c.Disturbed(o.VM, from, r.At) || c.Disturbed(r.VM, from, r.At) {
-			continue
-		}
-		c.addViolation("a request is not sent on after its caller has left", "%s, run at %s %s after that", summary, r.VM, r.At.Sub(o.LeftAt))
-	}
-}
-
 // anyDisturbed reports whether any component was disturbed at any time between from
 // and to.
 func (c *checker) anyDisturbed(from, to time.Time) bool { return c.Disturbed("", from, to) }
--- a/stand/grind/notices.go
+++ b/stand/grind/notices.go
@@ -5,6 +5,18 @@
 	"time"
 )
 
+// The bounds that the documentation of the users' platform sets for targets that name a rate
+// limit.
+const (
+	// From settleTime after it first named its rate limit, a target may in each
+	// limitWindow get at most limit × limitWindow × limitOverage + limitSlack requests
+	// from the nodes that had passed the limit on limitKnownAfter before.
+	limitWindow     = 4 * time.Second
+	limitOverage    = 1.5
+	limitSlack      = 5
+	limitKnownAfter = 500 * time.Millisecond
+)
+
 // passedOn returns when each VM first passed an answer of a target on for which says is
 // true, by the name of the VM.
 func (c *checker) passedOn(target string, after time.Time, says func(o *Outcome) bool) map[string]time.Time {
