Run the fleets of the mirror's tests on one processor

Cause: the runtime of the race detector, as in coordination/gossip before: the same check fails there in synctest bubbles of many goroutines on several processors, and in none on one processor.

Change: these tests alone run on one processor, where the detector still finds every data race that is not ordered by synchronization.

--- a/gage/coordination/mirror/fleet_test.go
+++ b/gage/coordination/mirror/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -120,6 +121,10 @@
 // in force.
 func runMirrorFleetWithin(t *testing.T, maxDelay time.Duration, nodes int, body func(t *testing.T, f *mirrorFleet)) {
 	t.Helper()
+	// See TestMain of coordination/gossip: the runtime of the race detector crashes in
+	// bubbles of many goroutines, unless they run on one processor.
+	processors := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(processors)
 	synctest.Test(t, func(t *testing.T) {
 		f := &mirrorFleet{revision: 1, changed: make(chan struct{}), denies: func(int) bool { return false }}
 		ctx, cancel := context.WithCancel(t.Context())
