Review: case 1 names the new service in the settings

Cause: the machine's settings name the service of its worker. Without a change of them the platform would have contradicted itself.

Change: the script rewrites the settings file when the first worker has ended.

--- a/review/stand/reuse.go
+++ b/review/stand/reuse.go
@@ -38,12 +38,17 @@
 	m := f.machines[0]
 	old := m.worker
 	old.crash()
-	time.Sleep(reuseAfter + 200*time.Millisecond)
-	service := old.service
 	if trouble {
-		service = "history"
+		// The settings name the service of the machine's worker, and may change without any
+		// signal.
+		m.service = "history"
+		if err := m.writeSettings(false); err != nil {
+			return false, err
+		}
+		r.line("the settings of %s name the service %s", m.name, m.service)
 	}
-	next := newWorker(r, fmt.Sprintf("i-%08x", rand.Uint32()), service, old.zone, old.address, old.control, old.slots, old.work)
+	time.Sleep(reuseAfter + 200*time.Millisecond)
+	next := newWorker(r, fmt.Sprintf("i-%08x", rand.Uint32()), m.service, old.zone, old.address, old.control, old.slots, old.work)
 	if err := next.start(); err != nil {
 		return false, err
 	}
@@ -113,6 +118,10 @@
 	next.healthPath = bookingPath
 	if trouble {
 		next.service, next.healthPath = "history", historyPath
+		m.service = next.service
+		if err := m.writeSettings(false); err != nil {
+			return false, err
+		}
 	}
 	if err := next.start(); err != nil {
 		return false, err
