--- a/review/stand/reuse.go
+++ b/review/stand/reuse.go
@@ -77,6 +77,16 @@
 	if foreign > 0 {
 		r.say("the last of them %.3f s after the worker's start", last.Seconds())
 	}
+	mislabelled := 0
+	for _, other := range f.machines {
+		for _, x := range other.worker.runsSoFar() {
+			a := byID[x.id]
+			if a.machine == m && a.sentAt.After(startedAt.Add(2*heartbeatInterval)) && x.callerService != m.service {
+				mislabelled++
+			}
+		}
+	}
+	r.say("requests that began at %s, later than two heartbeats after that, and ran with another X-Caller-Service than %s: %d", m.name, m.service, mislabelled)
 	return foreign == 0, nil
 }
 
