A target gets requests only of a service that it was named for

Cause: a health check names an ID and no service. The node took the new ID and kept the service of the earlier process. The caller's service, and that of a target that has not reported, were read from the settings once, at the start.

Requests name the new ID, so that a wrong choice at other nodes is ruled out.

Change: a process has the service of its heartbeat; before that, only the first process that a node finds has the service of the settings. Changed settings change the caller's service. Health checks name the ID that they expect, so that a target with another health check path does not run them. Forwarded requests name their service, and the node beside the target refuses those of another one as not run.

--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -128,7 +128,7 @@
 // workspace. The second result is nil if the request is valid.
 func (m *Mesh) readCallerRequest(now time.Time, r *http.Request) (*request, *errorResponse) {
 	names := m.options.HeaderNames
-	q := &request{startedAt: now, targetRequest: targetRequest{method: r.Method, requestURI: r.RequestURI, host: r.Host, callerService: m.options.Self.Service}}
+	q := &request{startedAt: now, targetRequest: targetRequest{method: r.Method, requestURI: r.RequestURI, host: r.Host, callerService: *m.service.Load()}}
 	q.id = r.Header.Get(names.RequestID)
 	q.site = m.site.Load()
 	if q.site == nil {
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -25,6 +25,7 @@
 	headerCaller    = "Gage-Caller"
 	headerWorkspace = "Gage-Workspace"
 	headerRoute     = "Gage-Route"
+	headerService   = "Gage-Service"
 	headerNested    = "Gage-Nested"
 	headerRank      = "Gage-Rank"
 	// headerDeadline, headerGiveUp, headerEnds and headerWait hold the milliseconds left
@@ -62,6 +63,7 @@
 	header[headerID] = []string{w.id}
 	header[headerCaller] = []string{w.callerService}
 	header[headerRoute] = []string{w.route}
+	header[headerService] = []string{w.service}
 	header[headerRank] = []string{strconv.Itoa(w.rank)}
 	header[headerDeadline] = []string{millis(w.deadline.Sub(now))}
 	if w.giveUpAt.After(w.deadline) {
@@ -150,7 +152,7 @@
 	}
 	w := &targetRequest{
 		id: h.Get(headerID), method: r.Method, requestURI: r.RequestURI, host: r.Host,
-		callerService: h.Get(headerCaller), workspace: h.Get(headerWorkspace), route: h.Get(headerRoute),
+		callerService: h.Get(headerCaller), workspace: h.Get(headerWorkspace), route: h.Get(headerRoute), service: h.Get(headerService),
 		expectedTarget: h.Get(headerTarget), isNested: h.Get(headerNested) != "", rank: rank,
 		knownRateLimit: rateLimit,
 		deadline:       now.Add(time.Duration(millisLeft) * time.Millisecond),
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -96,7 +96,8 @@
 type Self struct {
 	VM   string
 	Zone string
-	// Service is the service of the target on this VM.
+	// Service is the service of the target on this VM at the start of the node. It may
+	// change: see Mesh.SetService.
 	Service string
 	// TargetAddress is the host:port at which the target serves requests.
 	TargetAddress string
@@ -173,6 +174,8 @@
 	broadcastNow chan struct{}
 
 	bounds atomic.Pointer[Bounds]
+	// service is the service of the target on this VM, as the settings name it.
+	service atomic.Pointer[string]
 }
 
 // The limits of connections to other nodes.
@@ -205,6 +208,7 @@
 	m.peerClient = hop.New(hop.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdle: peerMaxIdleConns})
 	m.documentsClient = hop.New(hop.Options{DialTimeout: peerDialTimeout})
 	m.bounds.Store(&options.Bounds)
+	m.service.Store(&options.Self.Service)
 	m.localTarget = newLocalTarget(m)
 	m.mirror = mirror.New(mirror.Options{
 		Store:    options.Store,
@@ -228,6 +232,18 @@
 	}
 }
 
+// SetService replaces the service that the settings name for the target on this VM. It may
+// be called while the node runs. A target process that is already known is not taken for
+// one of the new service until its heartbeat says so.
+func (m *Mesh) SetService(now time.Time, service string) {
+	if *m.service.Load() == service {
+		return
+	}
+	m.service.Store(&service)
+	m.options.Logger.Info("ServiceChanged", zap.String("Service", service))
+	m.localTarget.handleServiceChange(now, service)
+}
+
 // Run runs the background loops of the node and returns when ctx has ended and
 // all of them have stopped.
 func (m *Mesh) Run(ctx context.Context) {
--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -79,8 +79,10 @@
 	id        string
 	startedAt int64
 	sequence  int64
-	service   string
-	phase     gage.TargetPhase
+	// service is the service of the present target process. It is "" while no source
+	// that can know it has named it: a health check names an ID only.
+	service string
+	phase   gage.TargetPhase
 	// hasReported is true if the present target process has sent a heartbeat, so that
 	// phase is what it said.
 	hasReported bool
@@ -221,6 +223,32 @@
 	}
 }
 
+// handleServiceChange applies a changed service of the settings. The present process was
+// started as one of the earlier service, and may have ended.
+func (t *localTarget) handleServiceChange(now time.Time, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.id == "":
+		t.service = service
+	case t.service == service:
+		return
+	case !t.hasReported:
+		t.service = ""
+	}
+	t.doubt(now)
+}
+
+// doubt refuses all requests to the target until its identity has been confirmed. The
+// caller must hold mu.
+func (t *localTarget) doubt(now time.Time) {
+	t.identityConfirmed = false
+	t.gate.RefuseAll(now, gage.ReasonTargetSuspect)
+	t.client.Drop(t.mesh.options.Self.TargetAddress)
+	t.wakeMonitor()
+	t.mesh.broadcastSoon()
+}
+
 // applyConfig applies the configuration that was just stored in mesh.site.
 func (t *localTarget) applyConfig(now time.Time) {
 	t.mu.Lock()
@@ -285,7 +313,7 @@
 
 // stateLocked implements state. The caller must hold mu.
 func (t *localTarget) stateLocked(now time.Time) gage.TargetState {
-	if !t.identityConfirmed || t.id == "" || t.zoneClosed {
+	if !t.identityConfirmed || t.id == "" || t.service == "" || t.zoneClosed {
 		return gage.TargetState{}
 	}
 	return gage.TargetState{
@@ -327,13 +355,9 @@
 	if !t.identityConfirmed || gate != t.gate {
 		return
 	}
-	t.identityConfirmed = false
-	t.gate.RefuseAll(now, gage.ReasonTargetSuspect)
-	t.client.Drop(t.mesh.options.Self.TargetAddress)
 	t.mesh.options.Logger.Warn("TargetInDoubt", zap.String("Target", t.id), zap.Error(cause),
 		zap.Duration("SinceAnswer", now.Sub(t.progressAt)))
-	t.wakeMonitor()
-	t.mesh.broadcastSoon()
+	t.doubt(now)
 }
 
 // monitor detects stalls and checks the identity of a suspect target until ctx
@@ -350,8 +374,8 @@
 		}
 		now := t.mesh.options.Clock.Now()
 		t.checkStall(now)
-		if path, due := t.checkDue(); due {
-			t.checkIdentity(ctx, now, path)
+		if check, due := t.checkDue(); due {
+			t.checkIdentity(ctx, now, check)
 		}
 	}
 }
@@ -368,29 +392,40 @@
 	}
 }
 
-func (t *localTarget) checkDue() (path string, due bool) {
+// identityCheck is a health check that asks a target process for its identity.
+type identityCheck struct {
+	path string
+	// id is the ID of the process that is expected to answer, "" if none is known.
+	id string
+}
+
+func (t *localTarget) checkDue() (check identityCheck, due bool) {
 	s := t.mesh.site.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s == nil || t.identityConfirmed || t.zoneClosed || t.phase != gage.TargetServing || t.mesh.leaving.Load() {
-		return "", false
+		return identityCheck{}, false
 	}
 	service := s.Service(t.service)
 	if service == nil || service.HealthPath == "" {
-		return "", false
+		return identityCheck{}, false
 	}
-	return service.HealthPath, true
+	return identityCheck{path: service.HealthPath, id: t.id}, true
 }
 
-// checkIdentity requests the target's health check path to learn its identity.
-func (t *localTarget) checkIdentity(ctx context.Context, now time.Time, path string) {
+// checkIdentity requests the target's health check path to learn its identity. The
+// request names the expected process, so that the target of another service, whose health
+// check path may be another, does not run it.
+func (t *localTarget) checkIdentity(ctx context.Context, now time.Time, check identityCheck) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	names := t.mesh.options.HeaderNames
-	id := fmt.Sprintf("%016x", uint64(now.UnixNano()))
+	header := http.Header{names.RequestID: {fmt.Sprintf("%016x", uint64(now.UnixNano()))}, "Connection": {"close"}}
+	if check.id != "" {
+		header[names.ExpectedTarget] = []string{check.id}
+	}
 	response, err := t.checkClient.Do(ctx, now, t.mesh.options.Self.TargetAddress, &hop.Request{
-		Method: http.MethodGet, RequestURI: path, Host: t.mesh.options.Self.TargetAddress,
-		Header: http.Header{names.RequestID: {id}, "Connection": {"close"}},
+		Method: http.MethodGet, RequestURI: check.path, Host: t.mesh.options.Self.TargetAddress, Header: header,
 	})
 	t.mesh.stats.identityChecks.Inc()
 	if err != nil {
@@ -399,20 +434,24 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	targetID := response.Header.Get(names.TargetID)
-	if targetID == "" {
+	if targetID == "" && response.Status != http.StatusMisdirectedRequest {
 		t.mesh.log.info("TargetNotChecked", zap.Int("Status", response.Status))
 		return
 	}
-	t.handleIdentity(t.mesh.options.Clock.Now(), targetID, response.Status, response.Header)
+	t.handleIdentity(t.mesh.options.Clock.Now(), check, targetID, response.Status, response.Header)
 }
 
 // handleIdentity records the result of an identity check. The health that its status
 // reports may be wrong, and is ignored for a process that has sent a heartbeat. Any
 // other process may be leaving: it may have said so before this node started.
-func (t *localTarget) handleIdentity(now time.Time, id string, status int, header http.Header) {
+func (t *localTarget) handleIdentity(now time.Time, check identityCheck, id string, status int, header http.Header) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.identityConfirmed {
+	if wasReplaced := t.id != check.id && t.id != id; t.identityConfirmed || wasReplaced {
+		return
+	}
+	if t.id != "" && id != t.id {
+		t.handleOtherProcess(id)
 		return
 	}
 	if isHealthy := status >= 200 && status < 300; !isHealthy && (id != t.id || !t.hasReported) {
@@ -429,10 +468,19 @@
 	t.identityConfirmed, t.progressAt = true, now
 	t.updateColdRate()
 	t.gate.SetCold(now, now.Add(time.Duration(parsedColdMillis*float64(time.Millisecond))))
-	t.mesh.options.Logger.Info("TargetChecked", zap.String("Target", id), zap.Float64("ColdMillis", parsedColdMillis))
+	t.mesh.options.Logger.Info("TargetChecked", zap.String("Target", id), zap.String("Service", t.service), zap.Float64("ColdMillis", parsedColdMillis))
 	t.mesh.broadcastSoon()
 }
 
+// handleOtherProcess records that another process than the known one answers at the
+// target's address. It may be of another service, whose health check path this node does
+// not know, so that only a heartbeat can bring the target back. id is "" if the process
+// did not name its own.
+func (t *localTarget) handleOtherProcess(id string) {
+	t.mesh.options.Logger.Info("TargetReplaced", zap.String("Target", t.id), zap.String("Service", t.service), zap.String("Found", id))
+	t.service, t.hasReported = "", false
+}
+
 // admit waits until a request may run at the target. It returns the gate and the
 // ticket to pass to finish, or the reason for which the request is refused.
 func (t *localTarget) admit(ctx context.Context, now time.Time, w *targetRequest) (*slots.Gate, *slots.Ticket, gage.Reason) {
@@ -464,7 +512,7 @@
 		return gage.ReasonZoneClosed
 	case !t.identityConfirmed:
 		return gage.ReasonTargetSuspect
-	case t.id != w.expectedTarget:
+	case t.id != w.expectedTarget, w.service != "" && w.service != t.service:
 		return gage.ReasonOtherTarget
 	case t.phase != gage.TargetServing:
 		return gage.ReasonDraining
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -39,10 +39,12 @@
 	// body is complete.
 	bodyRest io.Reader
 	// length is the length of the whole body, below 0 if unknown.
-	length         int64
-	callerService  string
-	workspace      string
-	route          string
+	length        int64
+	callerService string
+	workspace     string
+	route         string
+	// service is the service that runs the request, "" if a node of an earlier version
+	// has forwarded it.
 	service        string
 	expectedTarget string
 	// knownRateLimit is the target's limit of its rate as the caller's node has last
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -74,6 +75,8 @@
 	ID      string
 	Service string
 	Zone    string
+	// HealthPath is the path of the target's health check, "" for /health.
+	HealthPath string
 	// Address is the host:port at which the target receives requests. StartAt sets
 	// it.
 	Address string
@@ -200,7 +203,7 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	isHealthCheck := r.URL.Path == "/health"
+	isHealthCheck := r.URL.Path == cmp.Or(t.HealthPath, "/health")
 	t.mu.Lock()
 	isPlain := isHealthCheck && t.isHealthPlain
 	t.mu.Unlock()
