A target that has left stays out of service when its node restarts

Cause: a departure was kept in the process alone. A heartbeat has a sequence and no time, and a new process of the node took one from before the departure for the present state.

Evidence: in the log of the node the health checks of the new process are refused eight times with Status=503; the heartbeat that arrives 2.5 s after the acknowledgement makes the target Serving, and the first requests reach it from then on.

Change: a heartbeat brings a target into service only if it was certainly sent since the node's start, or once a health check has found the target healthy. Departures are remembered by ID and start, also those of processes that the node has not heard of. Other nodes remember a target that its node has reported as leaving.

Tests, before the change: TestLateHeartbeatBringsNoTargetBackAfterARestart (all four cases), TestLateHeartbeatBringsNoUnknownTargetIntoService (both) and TestTargetsReportedAsLeavingAreNotPickedAfterARestartOfTheirNode (both) fail. The stand-in's deregistration names its start, as the platform's does.

--- a/gage/state/roster/notices.go
+++ b/gage/state/roster/notices.go
@@ -36,6 +36,19 @@
 func (r *Roster) TargetSays(now time.Time, t gage.TargetState, n Notices) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.targetSays(now, t, n)
+}
+
+// learnPhase records that a target leaves, if its node says so. The next process of that
+// node may not know.
+func (r *Roster) learnPhase(now time.Time, t gage.TargetState) {
+	if t.ID != "" && t.StartedAt != 0 && t.Phase != gage.TargetServing {
+		r.targetSays(now, t, Notices{IsLeaving: true, RateLimit: r.noticesOf(t).RateLimit})
+	}
+}
+
+// targetSays implements TargetSays. The caller must hold mu.
+func (r *Roster) targetSays(now time.Time, t gage.TargetState, n Notices) {
 	known, isKnown := r.notices[t.ID]
 	if !isKnown && !n.IsLeaving && math.IsInf(n.RateLimit, 1) || t.StartedAt != 0 && t.StartedAt < known.startedAt {
 		return
--- a/gage/state/roster/notices_test.go
+++ b/gage/state/roster/notices_test.go
@@ -117,3 +117,24 @@
 		})
 	}
 }
+
+// A node reported that its target leaves and restarted. Its next process, which did not
+// know, announced the target again, and the other nodes sent it requests.
+func TestTargetsReportedAsLeavingAreNotPickedAfterARestartOfTheirNode(t *testing.T) {
+	for _, phase := range []gage.TargetPhase{gage.TargetDraining, gage.TargetGone} {
+		t.Run(string(phase), func(t *testing.T) {
+			r := roster.New("a1", "a", random())
+			s := nodeState("a2", "a", 1)
+			s.Target.StartedAt, s.Target.Phase = 50, phase
+			update(r, start, s)
+			s.StartedAt, s.Target.StartedAt, s.Target.Phase = s.StartedAt+1, 0, gage.TargetServing
+			update(r, start, s)
+			_, found := r.Pick(start, "search", nil)
+			assert.Assert(t, !found)
+			s.Sequence, s.Target.StartedAt = s.Sequence+1, 60
+			update(r, start, s)
+			_, found = r.Pick(start, "search", nil)
+			assert.Assert(t, found)
+		})
+	}
+}
--- a/gage/state/roster/roster.go
+++ b/gage/state/roster/roster.go
@@ -161,6 +161,7 @@
 	}
 	p.NodeState = s
 	r.learnStart(s.Target)
+	r.learnPhase(now, s.Target)
 	if s.Target.ID != "" {
 		r.seenServices[s.Target.Service] = true
 	}
--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -47,6 +48,13 @@
 	// that named it. Responses overtake each other, so that one without the limit may be
 	// older.
 	rateLimitHold = 500 * time.Millisecond
+	// maxHeartbeatDelay is the time within which a heartbeat arrives. What it says may be
+	// that old.
+	maxHeartbeatDelay = 10 * time.Second
+	// A node remembers rememberDeparted, and at most maxDeparted, target processes that
+	// have said that they are gone.
+	rememberDeparted = 10 * time.Minute
+	maxDeparted      = 64
 )
 
 // Heartbeat is the state that a target reports about itself.
@@ -83,13 +91,19 @@
 	// that can know it has named it: a health check names an ID only.
 	service string
 	phase   gage.TargetPhase
-	// hasReported is true if the present target process has sent a heartbeat, so that
-	// phase is what it said.
+	// hasReported is true if the present target process has sent a heartbeat.
 	hasReported bool
+	// phaseKnown is true if the target process has not told an earlier process of this
+	// node that it leaves, as far as it answers health checks truthfully.
+	phaseKnown bool
+	// departed holds target processes that have said that they are gone, by ID.
+	departed map[string]departure
 	// identityConfirmed is true if the target has reported its identity since
 	// this node started, since the target was last marked suspect, and since its
 	// zone last returned to service. While it is false, requests are refused.
 	identityConfirmed bool
+	// createdAt is when this node started.
+	createdAt time.Time
 	// zoneClosed is true while the zone of this VM is out of service.
 	zoneClosed bool
 	// saidLeaving is true if a response of the present target process has said that it
@@ -115,13 +129,23 @@
 	wake chan struct{}
 }
 
+// departure is what a target process said when it was gone.
+type departure struct {
+	// startedAt is the Unix time in milliseconds that the process did not start after.
+	startedAt int64
+	heardAt   time.Time
+}
+
 func newLocalTarget(m *Mesh) *localTarget {
+	now := m.options.Clock.Now()
 	t := &localTarget{
-		mesh:    m,
-		gate:    slots.New(m.options.Clock.Now(), defaultLimit),
-		service: m.options.Self.Service,
-		phase:   gage.TargetServing,
-		wake:    make(chan struct{}, 1),
+		mesh:      m,
+		gate:      slots.New(now, defaultLimit),
+		service:   m.options.Self.Service,
+		phase:     gage.TargetServing,
+		departed:  make(map[string]departure),
+		createdAt: now,
+		wake:      make(chan struct{}, 1),
 	}
 	t.client = hop.New(hop.Options{
 		DialTimeout: targetDialTimeout,
@@ -147,7 +171,12 @@
 	}
 	stateBefore := t.stateLocked(now)
 	t.adoptIdentity(now, r.ID, r.StartedAt)
-	t.sequence, t.service, t.identityConfirmed, t.hasReported = r.Sequence, r.Service, true, true
+	t.sequence, t.service, t.hasReported = r.Sequence, r.Service, true
+	t.phaseKnown = t.phaseKnown || r.Phase != gage.TargetServing || t.sentSince(now, t.createdAt)
+	t.identityConfirmed = t.phaseKnown
+	if !t.identityConfirmed {
+		t.wakeMonitor()
+	}
 	if !t.saidLeaving || r.Phase != gage.TargetServing {
 		t.setPhase(now, r.Phase)
 	}
@@ -165,8 +194,16 @@
 	}
 }
 
+// sentSince reports whether a heartbeat that arrives now was certainly sent after a time.
+func (t *localTarget) sentSince(now, earlier time.Time) bool {
+	return now.Sub(earlier) > maxHeartbeatDelay
+}
+
 // isStale reports whether a heartbeat is older than the known state.
 func (t *localTarget) isStale(r Heartbeat) bool {
+	if d, found := t.departed[r.ID]; found && r.StartedAt <= d.startedAt {
+		return true
+	}
 	if r.StartedAt != t.startedAt {
 		return r.StartedAt < t.startedAt
 	}
@@ -178,12 +215,13 @@
 
 // Depart marks the target process with the given ID as permanently gone. startedAt
 // is the Unix time in milliseconds at which that process started, or 0 if unknown.
-// Depart does nothing if another target process is known, or if a known startedAt is
-// before the start of the current process.
+// If another target process is known, or if a known startedAt is before the start of the
+// current process, the current process stays in service.
 func (m *Mesh) Depart(now time.Time, id string, startedAt int64) {
 	t := m.localTarget
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.rememberDeparture(now, id, startedAt)
 	if t.id == "" {
 		// This node has restarted. A later process of the target starts after now.
 		t.adoptIdentity(now, id, max(startedAt, now.UnixMilli()))
@@ -196,6 +234,21 @@
 	m.broadcastSoon()
 }
 
+// rememberDeparture keeps heartbeats of a process that is gone, and that arrive late, from
+// bringing it back.
+func (t *localTarget) rememberDeparture(now time.Time, id string, startedAt int64) {
+	maps.DeleteFunc(t.departed, func(_ string, d departure) bool { return now.Sub(d.heardAt) > rememberDeparted })
+	if startedAt == 0 {
+		startedAt = now.UnixMilli()
+		if id == t.id && t.startedAt != 0 {
+			startedAt = t.startedAt
+		}
+	}
+	if _, found := t.departed[id]; found || len(t.departed) < maxDeparted {
+		t.departed[id] = departure{startedAt: max(startedAt, t.departed[id].startedAt), heardAt: now}
+	}
+}
+
 // adoptIdentity resets the state if id and startedAt are those of a new target
 // process. If the ID has changed, it refuses the waiting requests, which were
 // meant for the earlier process.
@@ -211,7 +264,7 @@
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
 	t.gate.SetRate(now, math.Inf(1))
-	t.id, t.sequence, t.phase, t.hasReported, t.saidLeaving, t.hasAnswered = id, 0, gage.TargetServing, false, false, false
+	t.id, t.sequence, t.phase, t.hasReported, t.phaseKnown, t.saidLeaving, t.hasAnswered = id, 0, gage.TargetServing, false, false, false, false
 	t.startedAt = max(startedAt, t.startedAt)
 	t.progressAt, t.adoptedAt = now, now
 }
@@ -442,8 +495,8 @@
 }
 
 // handleIdentity records the result of an identity check. The health that its status
-// reports may be wrong, and is ignored for a process that has sent a heartbeat. Any
-// other process may be leaving: it may have said so before this node started.
+// reports may be wrong, and is ignored for a process whose phase is known. Any other
+// process may be leaving: it may have said so before this node started.
 func (t *localTarget) handleIdentity(now time.Time, check identityCheck, id string, status int, header http.Header) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -454,8 +507,9 @@
 		t.handleOtherProcess(id)
 		return
 	}
-	if isHealthy := status >= 200 && status < 300; !isHealthy && (id != t.id || !t.hasReported) {
-		t.mesh.log.info("TargetNotChecked", zap.String("Target", id), zap.Int("Status", status), zap.Bool("HasReported", false))
+	isHealthy := status >= 200 && status < 300
+	if !isHealthy && !t.phaseKnown {
+		t.mesh.log.info("TargetNotChecked", zap.String("Target", id), zap.Int("Status", status), zap.Bool("HasReported", t.hasReported))
 		return
 	}
 	coldMillis := header.Get(t.mesh.options.HeaderNames.ColdMillis)
@@ -465,7 +519,7 @@
 	}
 	t.adoptIdentity(now, id, t.startedAt)
 	t.readNotices(now, header)
-	t.identityConfirmed, t.progressAt = true, now
+	t.identityConfirmed, t.phaseKnown, t.progressAt = true, true, now
 	t.updateColdRate()
 	t.gate.SetCold(now, now.Add(time.Duration(parsedColdMillis*float64(time.Millisecond))))
 	t.mesh.options.Logger.Info("TargetChecked", zap.String("Target", id), zap.String("Service", t.service), zap.Float64("ColdMillis", parsedColdMillis))
--- a/stand/plat/restart_test.go
+++ b/stand/plat/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -80,8 +81,10 @@
 	f := newFleet(t)
 	v := f.vms[2]
 	v.node.Stop()
+	start := time.Now()
 	f.restartNode(v)
 	f.waitFor("the target is used again", func() bool { return f.send(0, "POST", "/book/1", key).status == 200 })
+	t.Logf("used again after %s", time.Since(start))
 }
 
 // A node that restarts at its address does not write to the store, and finds the others
@@ -112,3 +115,92 @@
 	assert.NilError(f.t, json.NewDecoder(response.Body).Decode(&item))
 	return item
 }
+
+// lateHeartbeat returns a function that delivers a heartbeat of a target which is sent now.
+func (f *fleet) lateHeartbeat(v *vm) func() {
+	f.t.Helper()
+	body, err := v.target.Heartbeat("ready", 0)
+	assert.NilError(f.t, err)
+	return func() { assert.NilError(f.t, v.target.Announce(http.MethodPut, v.settings.HeartbeatAddress, body)) }
+}
+
+// A target said that it leaves and its node was killed. A heartbeat from before arrived at
+// the next process of the node, which used the target again until it ended. Neither the
+// store nor other nodes may be there to tell.
+func TestLateHeartbeatBringsNoTargetBackAfterARestart(t *testing.T) {
+	t.Parallel()
+	for _, how := range []string{"Deregistered", "Draining"} {
+		for _, isAlone := range []bool{false, true} {
+			t.Run(fmt.Sprint(how, " alone ", isAlone), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				v := f.vms[2]
+				arrive := f.lateHeartbeat(v)
+				if how == "Draining" {
+					assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "draining", 0))
+				} else {
+					assert.NilError(t, v.target.Deregister(v.settings.HeartbeatAddress))
+				}
+				v.node.Kill()
+				if isAlone {
+					f.restartAll()
+				} else {
+					f.restartNode(v)
+				}
+				f.assertNoRuns()
+				arrive()
+				f.assertNoRuns()
+			})
+		}
+	}
+}
+
+// restartAll kills the nodes of all VMs at once and starts new processes.
+func (f *fleet) restartAll() {
+	for _, v := range f.vms {
+		v.node.Kill()
+	}
+	for _, v := range f.vms {
+		f.restartNode(v)
+	}
+	f.waitFor("the other service is served", func() bool { return f.send(0, "GET", "/look/1", key).status != 0 })
+}
+
+// A process of a target that its node had not heard of said that it leaves. A heartbeat
+// that it had sent before then brought it into service.
+func TestLateHeartbeatBringsNoUnknownTargetIntoService(t *testing.T) {
+	t.Parallel()
+	for _, id := range []string{"i-vm-2", "i-next"} {
+		t.Run(id, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			v := f.vms[2]
+			next := f.replaceTarget(v, id, "booking")
+			body, err := next.Heartbeat("ready", 0)
+			assert.NilError(t, err)
+			assert.NilError(t, next.Deregister(v.settings.HeartbeatAddress))
+			assert.NilError(t, next.Announce(http.MethodPut, v.settings.HeartbeatAddress, body))
+			before := len(next.Runs())
+			f.assertNoRuns()
+			assert.Equal(t, len(next.Runs()), before)
+		})
+	}
+}
+
+// A restarted node found its target unhealthy, although the target had not said that it
+// leaves: its health checks lie. Its heartbeats bring it back, once they cannot be older
+// than the node.
+func TestRestartedNodeUsesATargetThatGoesOnReporting(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	v := f.vms[2]
+	v.target.SetHealthStatus(http.StatusServiceUnavailable)
+	v.node.Kill()
+	f.restartNode(v)
+	start := time.Now()
+	f.waitFor("the target is used again", func() bool {
+		assert.NilError(t, v.target.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+		return f.send(0, "POST", "/book/1", key).status == 200
+	})
+	assert.Assert(t, time.Since(start) > 5*time.Second, "%s", time.Since(start))
+}
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -107,6 +107,8 @@
 	// isHealthPlain is false.
 	headers       http.Header
 	isHealthPlain bool
+	// healthStatus is the status of health checks, 0 for the true one.
+	healthStatus int
 	// nestedCalls counts the nested calls, to make their request IDs unique.
 	nestedCalls int
 }
@@ -179,6 +181,13 @@
 	t.isHealthPlain = isPlain
 }
 
+// SetHealthStatus sets the status that health checks get, 0 for the true one.
+func (t *Target) SetHealthStatus(status int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.healthStatus = status
+}
+
 // Runs returns a copy of all runs so far, in the order they began.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
@@ -417,6 +426,7 @@
 	if t.isDraining {
 		status = http.StatusServiceUnavailable
 	}
+	status = cmp.Or(t.healthStatus, status)
 	t.mu.Unlock()
 	w.Header().Set("X-Instance-Id", t.ID)
 	w.Header().Set("X-Cold-Milliseconds", strconv.FormatInt(coldFor.Milliseconds(), 10))
@@ -429,20 +439,25 @@
 // heartbeats is control. The heartbeat says that the target stays cold for coldFor.
 // SendHeartbeat returns an error when the node does not accept the heartbeat.
 func (t *Target) SendHeartbeat(control, state string, coldFor time.Duration) error {
+	body, err := t.Heartbeat(state, coldFor)
+	if err != nil {
+		return err
+	}
+	return t.Announce(http.MethodPut, control, body)
+}
+
+// Heartbeat returns the body of the target's next heartbeat, which says that the target
+// stays cold for coldFor.
+func (t *Target) Heartbeat(state string, coldFor time.Duration) ([]byte, error) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.sequence++
 	t.WarmAt, t.isDraining = time.Now().Add(coldFor), state != "ready"
-	body := map[string]any{
+	return json.Marshal(map[string]any{
 		"address": t.Address, "born": t.startedMillis,
 		"server_info": map[string]any{"service": t.Service, "version": "v1", "zone": t.Zone, "slots": t.Slots},
 		"status":      map[string]any{"state": state, "sequence": t.sequence, "cold_remaining": fmt.Sprintf("%dms", coldFor.Milliseconds())},
-	}
-	t.mu.Unlock()
-	text, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	return t.announce(http.MethodPut, control, text)
+	})
 }
 
 // Deregister announces that the target ends to its node, whose address for heartbeats
@@ -451,10 +466,16 @@
 	t.mu.Lock()
 	t.isDraining = true
 	t.mu.Unlock()
-	return t.announce(http.MethodDelete, control, nil)
+	body, err := json.Marshal(map[string]any{"born": t.startedMillis})
+	if err != nil {
+		return err
+	}
+	return t.Announce(http.MethodDelete, control, body)
 }
 
-func (t *Target) announce(method, control string, body []byte) error {
+// Announce sends a heartbeat with the method PUT, or a deregistration with DELETE, to the
+// node of the target. It returns an error when the node does not accept it.
+func (t *Target) Announce(method, control string, body []byte) error {
 	request, err := http.NewRequest(method, "http://"+control+"/-/instances/"+t.ID, bytes.NewReader(body))
 	if err != nil {
 		return err
