A late heartbeat shortens no cold time

Callers saw: bookings that a target had accepted ended with 502.

Cause: each source wrote the target's cold time as it arrived. A heartbeat from before the target was cold has a higher sequence than the last one, and was taken for newer than the answer to a health check asked since.

Evidence: the node's log has TargetChecked with 2,998 ms, 0.8 s later TargetChanged with Cold=0s, and 0.5 s after that a connection that is refused. Until the heartbeat the target gets none of the requests.

Change: a heartbeat shortens only what was learned longer ago than a heartbeat can be late, and a health check only what was learned before its question. A zone's return is confirmed by a health check asked since; a heartbeat that may be older does not forestall it. A cold time that cannot be read confirms nothing.

--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -55,6 +55,8 @@
 	// have said that they are gone.
 	rememberDeparted = 10 * time.Minute
 	maxDeparted      = 64
+	// maxCold is the longest cold time that a target can name.
+	maxCold = time.Hour
 )
 
 // Heartbeat is the state that a target reports about itself.
@@ -104,6 +106,15 @@
 	identityConfirmed bool
 	// createdAt is when this node started.
 	createdAt time.Time
+	// reopenedAt is when the zone returned to service, zero once the target's state since
+	// then is known.
+	reopenedAt time.Time
+	// doubtedAt is when the identity was last in doubt. The answer to an earlier check does
+	// not confirm it.
+	doubtedAt time.Time
+	// coldUntil is when the cold start of the present target process ends, as was learned
+	// at coldLearnedAt.
+	coldUntil, coldLearnedAt time.Time
 	// zoneClosed is true while the zone of this VM is out of service.
 	zoneClosed bool
 	// saidLeaving is true if a response of the present target process has said that it
@@ -173,7 +184,10 @@
 	t.adoptIdentity(now, r.ID, r.StartedAt)
 	t.sequence, t.service, t.hasReported = r.Sequence, r.Service, true
 	t.phaseKnown = t.phaseKnown || r.Phase != gage.TargetServing || t.sentSince(now, t.createdAt)
-	t.identityConfirmed = t.phaseKnown
+	if t.sentSince(now, t.reopenedAt) {
+		t.reopenedAt = time.Time{}
+	}
+	t.identityConfirmed = t.phaseKnown && t.reopenedAt.IsZero()
 	if !t.identityConfirmed {
 		t.wakeMonitor()
 	}
@@ -184,7 +198,9 @@
 		t.gate.Limit = max(1, int(float64(r.Slots)*slotUtilization))
 	}
 	t.updateColdRate()
-	t.gate.SetCold(now, now.Add(r.Cold))
+	if until := now.Add(r.Cold); until.After(t.coldUntil) || t.sentSince(now, t.coldLearnedAt) {
+		t.setCold(now, until)
+	}
 	t.gate.Advance(now)
 	stateAfter := t.stateLocked(now)
 	if stateBefore.ID != stateAfter.ID || stateBefore.Phase != stateAfter.Phase || stateBefore.Service != stateAfter.Service || (stateBefore.ColdRemaining > 0) != (stateAfter.ColdRemaining > 0) {
@@ -194,6 +210,12 @@
 	}
 }
 
+// setCold records when the cold start of the target ends.
+func (t *localTarget) setCold(now, until time.Time) {
+	t.coldUntil, t.coldLearnedAt = until, now
+	t.gate.SetCold(now, until)
+}
+
 // sentSince reports whether a heartbeat that arrives now was certainly sent after a time.
 func (t *localTarget) sentSince(now, earlier time.Time) bool {
 	return now.Sub(earlier) > maxHeartbeatDelay
@@ -261,6 +283,7 @@
 		limit := t.gate.Limit
 		t.gate.RefuseAll(now, gage.ReasonOtherTarget)
 		t.gate = slots.New(now, limit)
+		t.coldUntil, t.coldLearnedAt = time.Time{}, time.Time{}
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
 	t.gate.SetRate(now, math.Inf(1))
@@ -295,7 +318,7 @@
 // doubt refuses all requests to the target until its identity has been confirmed. The
 // caller must hold mu.
 func (t *localTarget) doubt(now time.Time) {
-	t.identityConfirmed = false
+	t.identityConfirmed, t.doubtedAt = false, now
 	t.gate.RefuseAll(now, gage.ReasonTargetSuspect)
 	t.client.Drop(t.mesh.options.Self.TargetAddress)
 	t.wakeMonitor()
@@ -345,7 +368,7 @@
 		t.gate.RefuseAll(now, gage.ReasonZoneClosed)
 		return
 	}
-	t.identityConfirmed = false
+	t.identityConfirmed, t.reopenedAt, t.doubtedAt = false, now, now
 	t.wakeMonitor()
 }
 
@@ -427,8 +450,8 @@
 		}
 		now := t.mesh.options.Clock.Now()
 		t.checkStall(now)
-		if check, due := t.checkDue(); due {
-			t.checkIdentity(ctx, now, check)
+		if check, due := t.checkDue(now); due {
+			t.checkIdentity(ctx, check)
 		}
 	}
 }
@@ -449,10 +472,11 @@
 type identityCheck struct {
 	path string
 	// id is the ID of the process that is expected to answer, "" if none is known.
-	id string
+	id      string
+	askedAt time.Time
 }
 
-func (t *localTarget) checkDue() (check identityCheck, due bool) {
+func (t *localTarget) checkDue(now time.Time) (check identityCheck, due bool) {
 	s := t.mesh.site.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -463,21 +487,21 @@
 	if service == nil || service.HealthPath == "" {
 		return identityCheck{}, false
 	}
-	return identityCheck{path: service.HealthPath, id: t.id}, true
+	return identityCheck{path: service.HealthPath, id: t.id, askedAt: now}, true
 }
 
 // checkIdentity requests the target's health check path to learn its identity. The
 // request names the expected process, so that the target of another service, whose health
 // check path may be another, does not run it.
-func (t *localTarget) checkIdentity(ctx context.Context, now time.Time, check identityCheck) {
+func (t *localTarget) checkIdentity(ctx context.Context, check identityCheck) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	names := t.mesh.options.HeaderNames
-	header := http.Header{names.RequestID: {fmt.Sprintf("%016x", uint64(now.UnixNano()))}, "Connection": {"close"}}
+	header := http.Header{names.RequestID: {fmt.Sprintf("%016x", uint64(check.askedAt.UnixNano()))}, "Connection": {"close"}}
 	if check.id != "" {
 		header[names.ExpectedTarget] = []string{check.id}
 	}
-	response, err := t.checkClient.Do(ctx, now, t.mesh.options.Self.TargetAddress, &hop.Request{
+	response, err := t.checkClient.Do(ctx, check.askedAt, t.mesh.options.Self.TargetAddress, &hop.Request{
 		Method: http.MethodGet, RequestURI: check.path, Host: t.mesh.options.Self.TargetAddress, Header: header,
 	})
 	t.mesh.stats.identityChecks.Inc()
@@ -500,7 +524,8 @@
 func (t *localTarget) handleIdentity(now time.Time, check identityCheck, id string, status int, header http.Header) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if wasReplaced := t.id != check.id && t.id != id; t.identityConfirmed || wasReplaced {
+	wasReplaced := t.id != check.id && t.id != id
+	if t.identityConfirmed || wasReplaced || check.askedAt.Before(t.doubtedAt) {
 		return
 	}
 	if t.id != "" && id != t.id {
@@ -512,20 +537,37 @@
 		t.mesh.log.info("TargetNotChecked", zap.String("Target", id), zap.Int("Status", status), zap.Bool("HasReported", t.hasReported))
 		return
 	}
-	coldMillis := header.Get(t.mesh.options.HeaderNames.ColdMillis)
-	parsedColdMillis, err := strconv.ParseFloat(coldMillis, 64)
-	if coldMillis != "" && err != nil {
-		t.mesh.log.warn("ColdTimeNotRead", zap.String("Value", coldMillis), zap.Error(err))
+	cold, isNamed, err := parseCold(header.Get(t.mesh.options.HeaderNames.ColdMillis))
+	if err != nil {
+		t.mesh.log.warn("TargetNotChecked", zap.String("Target", id), zap.Error(err))
+		return
 	}
 	t.adoptIdentity(now, id, t.startedAt)
 	t.readNotices(now, header)
-	t.identityConfirmed, t.phaseKnown, t.progressAt = true, true, now
+	t.identityConfirmed, t.phaseKnown, t.progressAt, t.reopenedAt = true, true, now, time.Time{}
 	t.updateColdRate()
-	t.gate.SetCold(now, now.Add(time.Duration(parsedColdMillis*float64(time.Millisecond))))
-	t.mesh.options.Logger.Info("TargetChecked", zap.String("Target", id), zap.String("Service", t.service), zap.Float64("ColdMillis", parsedColdMillis))
+	// A heartbeat that arrived since the question may be newer than the answer.
+	if until := now.Add(cold); until.After(t.coldUntil) || isNamed && t.coldLearnedAt.Before(check.askedAt) {
+		t.setCold(now, until)
+	}
+	t.mesh.options.Logger.Info("TargetChecked", zap.String("Target", id), zap.String("Service", t.service), zap.Duration("Cold", t.gate.ColdRemaining(now)))
 	t.mesh.broadcastSoon()
 }
 
+// parseCold parses the time for which a target stays cold, in milliseconds. isNamed is
+// false if the text is empty.
+func parseCold(text string) (cold time.Duration, isNamed bool, err error) {
+	if text == "" {
+		return 0, false, nil
+	}
+	millis, err := strconv.ParseFloat(text, 64)
+	// Written so that NaN is refused too.
+	if isInRange := millis >= 0 && millis <= float64(maxCold.Milliseconds()); err != nil || !isInRange {
+		return 0, false, fmt.Errorf("the cold time %.40q is not a number of milliseconds from 0 to %d", text, maxCold.Milliseconds())
+	}
+	return time.Duration(millis * float64(time.Millisecond)), true, nil
+}
+
 // handleOtherProcess records that another process than the known one answers at the
 // target's address. It may be of another service, whose health check path this node does
 // not know, so that only a heartbeat can bring the target back. id is "" if the process
--- a/stand/plat/restart_test.go
+++ b/stand/plat/restart_test.go
@@ -147,23 +147,37 @@
 				} else {
 					f.restartNode(v)
 				}
-				f.assertNoRuns()
+				f.assertNotUsed(v.target)
 				arrive()
-				f.assertNoRuns()
+				f.assertNotUsed(v.target)
 			})
 		}
 	}
 }
 
+// assertNotUsed sends requests to the service "booking" for a while and asserts that no
+// more of them reach a target. Right after a restart of all nodes, some are refused for
+// the rate of their workspace.
+func (f *fleet) assertNotUsed(target *plat.Target) {
+	f.t.Helper()
+	before := len(target.Arrivals())
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		status := f.send(0, "POST", "/book/1", key).status
+		assert.Assert(f.t, status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests, "%d", status)
+	}
+	assert.Equal(f.t, len(target.Arrivals()), before)
+}
+
 // restartAll kills the nodes of all VMs at once and starts new processes.
 func (f *fleet) restartAll() {
 	for _, v := range f.vms {
 		v.node.Kill()
 	}
+	// The callers' connections ended with the nodes.
+	http.DefaultClient.CloseIdleConnections()
 	for _, v := range f.vms {
 		f.restartNode(v)
 	}
-	f.waitFor("the other service is served", func() bool { return f.send(0, "GET", "/look/1", key).status != 0 })
 }
 
 // A process of a target that its node had not heard of said that it leaves. A heartbeat
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -109,6 +109,7 @@
 	isHealthPlain bool
 	// healthStatus is the status of health checks, 0 for the true one.
 	healthStatus int
+	healthDelay  time.Duration
 	// nestedCalls counts the nested calls, to make their request IDs unique.
 	nestedCalls int
 }
@@ -181,6 +182,21 @@
 	t.isHealthPlain = isPlain
 }
 
+// TurnCold makes the target cold for a time. Only its health checks and later heartbeats
+// tell.
+func (t *Target) TurnCold(coldFor time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.WarmAt = time.Now().Add(coldFor)
+}
+
+// SetHealthDelay sets how long responses of health checks take to arrive.
+func (t *Target) SetHealthDelay(delay time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.healthDelay = delay
+}
+
 // SetHealthStatus sets the status that health checks get, 0 for the true one.
 func (t *Target) SetHealthStatus(status int) {
 	t.mu.Lock()
@@ -427,7 +443,9 @@
 		status = http.StatusServiceUnavailable
 	}
 	status = cmp.Or(t.healthStatus, status)
+	delay := t.healthDelay
 	t.mu.Unlock()
+	time.Sleep(delay)
 	w.Header().Set("X-Instance-Id", t.ID)
 	w.Header().Set("X-Cold-Milliseconds", strconv.FormatInt(coldFor.Milliseconds(), 10))
 	w.WriteHeader(status)
