A target that starts again is used with its first heartbeat

Callers saw: refusals for the time of a health check, up to 10 s where the check failed, when a target started again within 10 s of its node's start.

Cause: took any heartbeat that early for one that may be older than the node. One of a process that followed a process which this node knew cannot be: the target has not met an earlier process of the node.

Evidence: TestRestartedTargetHasNoLimit failed in one run of stand/plat with the race detector, and in one of three runs without; its first requests after a restart were refused as TargetSuspect.

Change: what is known of a target's phase goes over to the process with a later start that follows it.

Test, before the change: TestRestartedTargetIsUsedWithItsFirstHeartbeat, 503 in both cases. With the change it and TestRestartedTargetHasNoLimit pass in three runs of three.

--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -287,7 +287,9 @@
 		t.client.Drop(t.mesh.options.Self.TargetAddress)
 	}
 	t.gate.SetRate(now, math.Inf(1))
-	t.id, t.sequence, t.phase, t.hasReported, t.phaseKnown, t.saidLeaving, t.hasAnswered = id, 0, gage.TargetServing, false, false, false, false
+	// A process that follows one which this node knew has not met an earlier node.
+	t.phaseKnown = t.phaseKnown && t.startedAt != 0 && startedAt > t.startedAt
+	t.id, t.sequence, t.phase, t.hasReported, t.saidLeaving, t.hasAnswered = id, 0, gage.TargetServing, false, false, false
 	t.startedAt = max(startedAt, t.startedAt)
 	t.progressAt, t.adoptedAt = now, now
 }
--- a/stand/plat/replaced_test.go
+++ b/stand/plat/replaced_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -130,3 +131,27 @@
 		return len(next.Runs()) > 0
 	})
 }
+
+// Soon after the start of a node its target started again, and the first heartbeat of the
+// new process was not enough to use it, although it cannot have told an earlier process of
+// the node that it leaves.
+func TestRestartedTargetIsUsedWithItsFirstHeartbeat(t *testing.T) {
+	t.Parallel()
+	for _, id := range []string{"i-vm-2", "i-next"} {
+		t.Run(id, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			v := f.vms[2]
+			v.target.Stop()
+			time.Sleep(5 * time.Millisecond)
+			next := &plat.Target{ID: id, Service: "booking", Zone: v.target.Zone, Slots: 20, ServiceTime: time.Millisecond}
+			assert.NilError(t, next.StartAt(v.target.Address))
+			t.Cleanup(next.Stop)
+			next.SetHealthStatus(http.StatusServiceUnavailable)
+			assert.NilError(t, next.SendHeartbeat(v.settings.HeartbeatAddress, "ready", 0))
+			// Its own node takes up a new ID with its next broadcast.
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, f.send(2, "POST", "/book/1", key).status, http.StatusOK)
+		})
+	}
+}
