Buffered bodies fit the memory of a node together

Callers saw, on other operators' systems: a faulty target answered without end, its node ran out of memory, and the requests of all callers on that VM ended with it.

Cause: each buffered body and each header was bounded, but not all of them together, and a header in bytes only, although short lines take many times their length when parsed.

A header has at most 256 lines.

Tests: TestHeaderOfManyLinesIsRefused fails before (5,000 lines are taken).

--- a/gage/transport/hop/hop.go
+++ b/gage/transport/hop/hop.go
@@ -33,8 +33,10 @@
 	userTimeout = time.Second
 	bufferBytes = 4 << 10
 	// maxHeadBytes bounds the bytes read until the header of a response is complete,
-	// and the body of a stale response.
+	// and the body of a stale response. maxHeadLines bounds the lines of the header, since
+	// a parsed line may take many times its length.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 256
 )
 
 // Options describe the connections to one kind of server.
@@ -48,6 +50,9 @@
 	// IDHeader is the name of the header with the request ID, which each response
 	// must echo. Responses are not checked if it is "".
 	IDHeader string
+	// AddedHeadBytes and AddedHeadLines are what a server that passes on the response of
+	// another one may add to its header.
+	AddedHeadBytes, AddedHeadLines int
 }
 
 // Client sends requests over pooled connections. It is safe for concurrent use.
@@ -122,7 +127,7 @@
 type conn struct {
 	net.Conn
 	// received limits what reader reads.
-	received *io.LimitedReader
+	received *headReader
 	reader   *bufio.Reader
 	// expiresAt is the time from which the connection must not be reused.
 	expiresAt time.Time
@@ -238,7 +243,8 @@
 // request.
 var errOnlyStaleResponses = errors.New("the connection returned only responses to other requests")
 
-// errHeadTooLong is returned if a response has a header of more than maxHeadBytes.
+// errHeadTooLong is returned if a response has a header of more than maxHeadBytes or
+// maxHeadLines.
 var errHeadTooLong = errors.New("the header of the response is too long")
 
 // readHead reads the status and header of the response to r. It skips interim
@@ -246,16 +252,17 @@
 func (c *Client) readHead(conn *conn, r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	// A faulty server may send a header, or a stale response, without end.
-	defer func() { conn.received.N = math.MaxInt64 }()
+	defer conn.received.unlimit()
 	for range maxResponsesRead {
-		conn.received.N = maxHeadBytes
+		conn.received.limit(maxHeadBytes+c.options.AddedHeadBytes, maxHeadLines+c.options.AddedHeadLines)
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
-			if conn.received.N == 0 {
+			if conn.received.isExhausted() {
 				err = errHeadTooLong
 			}
 			return nil, err
 		}
+		conn.received.lines = math.MaxInt
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/gage/transport/hop/hop_test.go
+++ b/gage/transport/hop/hop_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -269,6 +271,26 @@
 	assert.Equal(t, response.Status, http.StatusRequestEntityTooLarge)
 }
 
+// A faulty server sent a header of many short lines. Parsed, it took many times its length.
+func TestHeaderOfManyLinesIsRefused(t *testing.T) {
+	for lines, want := range map[int]bool{200: true, 5000: false} {
+		t.Run(strconv.Itoa(lines), func(t *testing.T) {
+			var head strings.Builder
+			head.WriteString("HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\nContent-Length: 0\r\n")
+			for i := range lines {
+				fmt.Fprintf(&head, "%x:\r\n", i)
+			}
+			address, _ := startEndlessServer(t, head.String()+"\r\n", "x")
+			client := hop.New(hop.Options{DialTimeout: time.Second, IDHeader: idHeader})
+			response, err := client.Do(t.Context(), time.Now(), address, &hop.Request{Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{idHeader: {"r1"}}})
+			assert.Equal(t, err == nil, want, "%v", err)
+			if err == nil {
+				assert.NilError(t, response.Body.Close())
+			}
+		})
+	}
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/gage/transport/hop/pool.go
+++ b/gage/transport/hop/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"syscall"
 	"time"
 
@@ -41,7 +40,8 @@
 		return nil, err
 	}
 	c.Dialed()
-	received := &io.LimitedReader{R: opened, N: math.MaxInt64}
+	received := &headReader{reader: opened}
+	received.unlimit()
 	return &conn{Conn: opened, received: received, reader: bufio.NewReaderSize(received, bufferBytes)}, nil
 }
 
--- a/gage/transport/mesh/body.go
+++ b/gage/transport/mesh/body.go
@@ -68,9 +68,9 @@
 }
 
 // readBody reads the body of a request into w.body. If the body is longer than
-// maxBufferedBytes, w.bodyRest reads the remainder. Reading fails at the deadline of
-// the request.
-func readBody(w *targetRequest, rw http.ResponseWriter, r *http.Request) error {
+// maxBufferedBytes, or no memory is free, w.bodyRest reads the remainder. Reading fails
+// at the deadline of the request.
+func (m *Mesh) readBody(w *targetRequest, rw http.ResponseWriter, r *http.Request) error {
 	w.length = r.ContentLength
 	if r.Body == nil || r.Body == http.NoBody {
 		w.length = 0
@@ -80,12 +80,12 @@
 	if err := control.SetReadDeadline(w.deadline); err != nil {
 		return fmt.Errorf("set the deadline of the body: %w", err)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
+	buffered, isComplete, reserved, err := m.spool.Read(r.Body, maxBufferedBytes+1)
+	w.body, w.bufferedBytes = buffered, reserved
 	if err != nil {
 		return err
 	}
-	w.body = buffered
-	if len(buffered) > maxBufferedBytes {
+	if !isComplete {
 		w.bodyRest = r.Body
 		return nil
 	}
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -90,6 +90,7 @@
 	body := respondBeforeBody(rw, r)
 	defer func() { body.drain(m.options.Clock.Now(), rw) }()
 	q, refusal := m.readCallerRequest(now, r)
+	defer func() { m.spool.Release(q.bufferedBytes) }()
 	if refusal == nil {
 		refusal = m.admit(now, q, rw, r)
 	}
@@ -186,7 +187,7 @@
 	if limit := q.site.Config.Limits.BodyBytes; limit > 0 {
 		r.Body = http.MaxBytesReader(nil, r.Body, limit)
 	}
-	if err := readBody(&q.targetRequest, rw, r); err != nil {
+	if err := m.readBody(&q.targetRequest, rw, r); err != nil {
 		m.returnToken(q)
 		return bodyError(err)
 	}
--- a/gage/transport/mesh/forward.go
+++ b/gage/transport/mesh/forward.go
@@ -120,6 +120,7 @@
 	body := respondBeforeBody(rw, r)
 	defer func() { body.drain(m.options.Clock.Now(), rw) }()
 	w, err := m.readForwarded(rw, r)
+	defer func() { m.spool.Release(w.bufferedBytes) }()
 	if err != nil {
 		m.log.warn("ForwardRefused", zap.Error(err))
 		body.announceClose(rw)
@@ -148,7 +149,7 @@
 	rank, rankErr := strconv.Atoi(h.Get(headerRank))
 	rateLimit, _, rateErr := parseRateLimit(h[headerRateLimit])
 	if err := errors.Join(err, giveUpErr, waitErr, chainErr, rankErr, rateErr); err != nil {
-		return nil, fmt.Errorf("read the header of a forwarded request: %w", err)
+		return &targetRequest{}, fmt.Errorf("read the header of a forwarded request: %w", err)
 	}
 	w := &targetRequest{
 		id: h.Get(headerID), method: r.Method, requestURI: r.RequestURI, host: r.Host,
@@ -161,7 +162,7 @@
 		waitUntil:      now.Add(time.Duration(waitMillis) * time.Millisecond),
 	}
 	w.header = forwardableHeaders(h)
-	return w, readBody(w, rw, r)
+	return w, m.readBody(w, rw, r)
 }
 
 // hopByHop holds the headers that apply to one connection only and are not
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -25,6 +25,7 @@
 	"github.com/greengagewind/greengagewind/gage/state/spend"
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
 	"github.com/greengagewind/greengagewind/gage/transport/packet"
+	"github.com/greengagewind/greengagewind/gage/transport/spool"
 )
 
 // HeaderNames are the names of the HTTP headers that a deployment uses, in
@@ -119,6 +120,8 @@
 	NodePrefix string
 	// IsFirstStart is true if no node has been registered in the store before.
 	IsFirstStart bool
+	// MemoryBytes is the memory that the process may use, 0 if it is not limited.
+	MemoryBytes int64
 	// Decode parses the operators' documents into the configuration and the
 	// names of the zones that are out of service. Generation 0 means that the
 	// documents hold no configuration.
@@ -159,6 +162,7 @@
 	// documentsClient keeps no connections: a kept one may have fallen silent, which shows
 	// only at the end of a fetch's time.
 	documentsClient *hop.Client
+	spool           *spool.Spool
 	log             *requestLog
 	stats           *stats
 
@@ -183,6 +187,10 @@
 	peerDialTimeout  = 300 * time.Millisecond
 	peerIdleTimeout  = 20 * time.Second
 	peerMaxIdleConns = 256
+	// peerHeadBytes and peerHeadLines are what a node adds to the header of a target's
+	// response.
+	peerHeadBytes = 4 << 10
+	peerHeadLines = 32
 )
 
 // New returns a node and opens its UDP socket for node states. It fails if the
@@ -200,12 +208,16 @@
 		brake:           brake.New(),
 		throttledRoutes: make(map[string]bool),
 		socket:          socket,
+		spool:           spool.New(options.MemoryBytes),
 		log:             newRequestLog(options.Logger, options.Clock),
 		stats:           newStats(options.Metrics),
 		broadcastNow:    make(chan struct{}, 1),
 	}
 	m.broker = broker.New(options.Clock.Now(), broker.Options{Self: options.Self.VM, Clock: options.Clock, Send: m.requestTokens, Random: rand.Uint64})
-	m.peerClient = hop.New(hop.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdle: peerMaxIdleConns})
+	m.peerClient = hop.New(hop.Options{
+		DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdle: peerMaxIdleConns,
+		AddedHeadBytes: peerHeadBytes, AddedHeadLines: peerHeadLines,
+	})
 	m.documentsClient = hop.New(hop.Options{DialTimeout: peerDialTimeout})
 	m.bounds.Store(&options.Bounds)
 	m.service.Store(&options.Self.Service)
--- a/gage/transport/mesh/work.go
+++ b/gage/transport/mesh/work.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagewind/greengagewind/gage"
 	"github.com/greengagewind/greengagewind/gage/transport/hop"
+	"github.com/greengagewind/greengagewind/gage/transport/spool"
 )
 
 // targetResponseMargin is how much earlier than a request's deadline the target's is, so
@@ -35,6 +36,8 @@
 	// the nodes set.
 	header http.Header
 	body   []byte
+	// bufferedBytes is the reservation for body.
+	bufferedBytes int64
 	// bodyRest reads the part of the request's body that follows body. It is nil if
 	// body is complete.
 	bodyRest io.Reader
@@ -92,6 +95,10 @@
 	body     []byte
 	bodyRest io.ReadCloser
 	length   int64
+	// spool holds the reservation of bufferedBytes for body. It is nil if there is
+	// none.
+	spool         *spool.Spool
+	bufferedBytes int64
 	// load is the state that the node of the target reported, or nil.
 	load *gage.TargetState
 	// unreached is true if no connection to the target or its node could be
@@ -111,6 +118,10 @@
 	if r.bodyRest != nil {
 		_ = r.bodyRest.Close()
 	}
+	if r.spool != nil {
+		r.spool.Release(r.bufferedBytes)
+		r.spool = nil
+	}
 }
 
 func notRun(reason gage.Reason, detail string) attemptResult {
@@ -269,13 +280,16 @@
 // readResponse reads a response and buffers its body if it is short enough. The
 // body of a longer response is left in bodyRest.
 func (m *Mesh) readResponse(ctx context.Context, response *hop.Response) attemptResult {
-	r := attemptResult{outcome: gage.OutcomeRan, status: response.Status, header: response.Header, length: response.Length}
+	r := attemptResult{outcome: gage.OutcomeRan, status: response.Status, header: response.Header, length: response.Length, spool: m.spool}
 	var err error
-	if response.Length > maxBufferedBytes {
-		r.bodyRest = response.Body
-		return r
-	}
 	if response.Length >= 0 {
+		if response.Length > spool.FreeBytes {
+			if response.Length > maxBufferedBytes || !m.spool.Reserve(response.Length) {
+				r.bodyRest = response.Body
+				return r
+			}
+			r.bufferedBytes = response.Length
+		}
 		r.body = make([]byte, response.Length)
 		_, err = io.ReadFull(response.Body, r.body)
 		if err == nil {
@@ -283,8 +297,9 @@
 			_, _ = response.Body.Read(make([]byte, 1))
 		}
 	} else {
-		r.body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-		if err == nil && len(r.body) == maxBufferedBytes {
+		var isComplete bool
+		r.body, isComplete, r.bufferedBytes, err = m.spool.Read(response.Body, maxBufferedBytes)
+		if err == nil && !isComplete {
 			r.bodyRest = response.Body
 			return r
 		}
@@ -294,6 +309,7 @@
 	if err == nil {
 		return r
 	}
+	r.close()
 	truncatedResult := sendFailure(ctx, m.options.Clock.Now(), &hop.Failure{Sent: true, Err: err})
 	truncatedResult.detail = "the response was truncated: " + err.Error()
 	return truncatedResult
--- a/stand/plat/fleet_test.go
+++ b/stand/plat/fleet_test.go
@@ -49,6 +49,8 @@
 	routes       []map[string]any
 	tenants      []map[string]any
 	requestCount *atomic.Int64
+	// memoryBytes is the memory of each node, 0 if it is not limited.
+	memoryBytes int64
 }
 
 func route(name, prefix, kind, service string, allowAnonymous bool) map[string]any {
@@ -78,9 +80,17 @@
 // newFleet returns a fleet with two VMs of service "search" and one VM of service
 // "booking". It waits until all nodes serve requests.
 func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	return newFleetOf(t, 0, "search", "search", "booking")
+}
+
+// newFleetOf returns a fleet with a VM of each of the services, whose nodes may use
+// memoryBytes, or any memory if that is 0. It waits until all nodes serve requests.
+func newFleetOf(t testing.TB, memoryBytes int64, services ...string) *fleet {
 	t.Helper()
 	f := newEmptyFleet(t)
-	for _, service := range []string{"search", "search", "booking"} {
+	f.memoryBytes = memoryBytes
+	for _, service := range services {
 		f.addVM(service)
 	}
 	f.waitForAll("every node serves both routes", func(i int) bool {
@@ -142,7 +152,7 @@
 	v.settings = setup.Settings{
 		Self:          mesh.Self{VM: name, Zone: zone, Service: service, TargetAddress: v.target.Address, PeerAddress: at(peerPort)},
 		CallerAddress: at(callersPort), ReadyAddress: at(readyPort), HeartbeatAddress: at(reportsPort), MetricsAddress: at(metricsPort),
-		StoreAddress: f.storeAddress,
+		StoreAddress: f.storeAddress, MemoryBytes: f.memoryBytes,
 		Bounds: mesh.Bounds{
 			RevocationDelay: 2 * time.Second, RevokeEverywhere: true, RetryRatio: 0.2, RetrySlack: 50,
 			ColdOverage: 1.5, ColdSlack: 5, ChangeDelay: 2 * time.Second, Grace: 6 * time.Second,
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -85,6 +85,8 @@
 	Slots int
 	// ServiceTime is how long a run takes without its nested calls.
 	ServiceTime time.Duration
+	// Echo makes the target answer with the body of the request, in chunks.
+	Echo bool
 	// HeedsDeadline makes a run that its deadline ends answer 504 then.
 	HeedsDeadline bool
 	// GiveUpTime is how long after the deadline such an answer is sent.
@@ -110,6 +112,8 @@
 	// healthStatus is the status of health checks, 0 for the true one.
 	healthStatus int
 	healthDelay  time.Duration
+	// rawHead and rawRepeated are those of SetRawResponse.
+	rawHead, rawRepeated string
 	// nestedCalls counts the nested calls, to make their request IDs unique.
 	nestedCalls int
 }
@@ -197,6 +201,15 @@
 	t.healthDelay = delay
 }
 
+// SetRawResponse makes the target answer each later request with the text head, in which
+// {id} stands for the request ID, and then with repeated without end. If both are "", it
+// answers as usual.
+func (t *Target) SetRawResponse(head, repeated string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rawHead, t.rawRepeated = head, repeated
+}
+
 // SetHealthStatus sets the status that health checks get, 0 for the true one.
 func (t *Target) SetHealthStatus(status int) {
 	t.mu.Lock()
@@ -231,7 +244,13 @@
 	isHealthCheck := r.URL.Path == cmp.Or(t.HealthPath, "/health")
 	t.mu.Lock()
 	isPlain := isHealthCheck && t.isHealthPlain
+	head, repeated := t.rawHead, t.rawRepeated
 	t.mu.Unlock()
+	if repeated != "" {
+		t.recordArrival(r, 0)
+		hijackAndWriteWithoutEnd(w, strings.ReplaceAll(head, "{id}", r.Header.Get("X-Request-Id")), repeated)
+		return
+	}
 	if !isPlain {
 		w = &headerWriter{ResponseWriter: w, target: t}
 	}
@@ -269,7 +288,7 @@
 		writeWithoutEnd(w, "x")
 		return
 	case TargetEndlessHead:
-		hijackAndWriteWithoutEnd(w)
+		hijackAndWriteWithoutEnd(w, "HTTP/1.1 200 OK\r\n", "X-Line: 0123456789\r\n")
 		return
 	case TargetHealthy, TargetRejectsEarly, TargetTruncates, TargetUnsigned, TargetFails:
 	}
@@ -282,6 +301,12 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	if t.Echo {
+		w.Header().Set("X-Response-Signature", SignaturePrefix+t.ID)
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(body)
+		return
+	}
 	t.writeAnswer(w, r, fault)
 }
 
@@ -317,7 +342,8 @@
 
 // writeWithoutEnd writes text again and again until the connection is closed.
 func writeWithoutEnd(w io.Writer, text string) {
-	block := []byte(strings.Repeat(text, 1<<14))
+	const blockBytes = 16 << 10
+	block := []byte(strings.Repeat(text, max(1, blockBytes/len(text))))
 	for {
 		if _, err := w.Write(block); err != nil {
 			return
@@ -325,14 +351,14 @@
 	}
 }
 
-func hijackAndWriteWithoutEnd(w http.ResponseWriter) {
+func hijackAndWriteWithoutEnd(w http.ResponseWriter, head, repeated string) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = c.Close() }()
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-	writeWithoutEnd(c, "X-Line: 0123456789\r\n")
+	_, _ = io.WriteString(c, head)
+	writeWithoutEnd(c, repeated)
 }
 
 func (t *Target) rejectsEarly() bool {
