A failure that is not made good reaches the caller whole

Cause: a failure was closed once another attempt was allowed, and was the answer all the same when none came about: no retry budget, or no other target. The body of a closed answer read as ended.

Evidence: 131,072 bytes are what a node buffers of a body without a length; the stand-in records that it wrote all of it, and a part of the failures arrives whole over the same connections.

Change: a failure is closed when the next attempt begins. A body that was closed before its end reads as an error.

Tests, before the change: TestLongFailuresAreDeliveredWhole fails in all three cases with 131,072 of 204,800 bytes. TestFailureWithoutEndIsNoCompleteAnswer passed there and guards the same path.

One run of TestManyAnswersWithoutEndFitTheMemory failed beside a load average of 25: no request was served in the 20 s after its case "failure"; 8 later runs passed. It is being traced.

--- a/gage/transport/hop/hop_test.go
+++ b/gage/transport/hop/hop_test.go
@@ -271,6 +271,19 @@
 	assert.Equal(t, response.Status, http.StatusRequestEntityTooLarge)
 }
 
+// The rest of a body that was closed looked like its end.
+func TestClosedBodyIsNotComplete(t *testing.T) {
+	address, _ := startEndlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	client := hop.New(hop.Options{DialTimeout: time.Second})
+	response, err := client.Do(t.Context(), time.Now(), address, &hop.Request{Method: "GET", RequestURI: "/", Host: "h", Header: http.Header{}})
+	assert.NilError(t, err)
+	_, err = io.ReadFull(response.Body, make([]byte, 100))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	_, err = io.ReadAll(response.Body)
+	assert.ErrorContains(t, err, "closed before its end")
+}
+
 // A faulty server sent a header of many short lines. Parsed, it took many times its length.
 func TestHeaderOfManyLinesIsRefused(t *testing.T) {
 	for lines, want := range map[int]bool{200: true, 5000: false} {
--- a/gage/transport/hop/pool.go
+++ b/gage/transport/hop/pool.go
@@ -120,11 +120,19 @@
 	requestWritten func() bool
 	idleLifetime   time.Duration
 	finished       bool
+	// isTruncated is true if the body was closed before its end.
+	isTruncated bool
 }
 
+// errBodyClosed is returned by reads of a body that was closed before its end.
+var errBodyClosed = errors.New("the body of the response was closed before its end")
+
 // Read reads from the body. At the end of the body, the connection becomes
 // available to other requests.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.isTruncated {
+		return 0, errBodyClosed
+	}
 	if b.finished {
 		return 0, io.EOF
 	}
@@ -147,7 +155,7 @@
 	if b.finished {
 		return
 	}
-	b.finished = true
+	b.finished, b.isTruncated = true, !isComplete
 	if !b.detachContext() || !isComplete || b.idleLifetime <= 0 || !b.requestWritten() || b.conn.reader.Buffered() > 0 {
 		_ = b.conn.Close()
 		return
--- a/gage/transport/mesh/caller.go
+++ b/gage/transport/mesh/caller.go
@@ -332,6 +332,8 @@
 		if !ok {
 			break
 		}
+		// The last result is closed no sooner than that, since it may be the answer.
+		lastResult.close()
 		q.triedVMs = append(q.triedVMs, peer.VM)
 		q.expectedTarget, q.knownRateLimit = peer.Target.ID, peer.RateLimit
 		r := m.send(ctx, peer, q)
@@ -348,7 +350,6 @@
 		if r.outcome == gage.OutcomeRan && r.bodyRest == nil {
 			answered = &r
 		}
-		r.close()
 		lastResult = r
 	}
 	return orAnswered(lastResult)
--- a/stand/plat/nodes_test.go
+++ b/stand/plat/nodes_test.go
@@ -516,3 +516,52 @@
 	_, err = io.ReadAll(c)
 	assert.NilError(t, err)
 }
+
+// A target failed an idempotent request with a long body. The node closed the answer to try
+// another target, could not, and passed on the beginning of the body as a complete answer.
+func TestLongFailuresAreDeliveredWhole(t *testing.T) {
+	t.Parallel()
+	const failureBytes, requests = 200 << 10, 20
+	for name, disturb := range map[string]func(f *fleet){
+		"no other target": func(f *fleet) {
+			assert.NilError(t, f.vms[1].target.SendHeartbeat(f.vms[1].settings.HeartbeatAddress, "draining", 0))
+		},
+		"the other target fails too":       func(f *fleet) { f.vms[1].target.SetFault(plat.TargetFails) },
+		"the other target does not answer": func(f *fleet) { f.vms[1].target.SetFault(plat.TargetLosesAnswers) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			for _, v := range f.vms[:2] {
+				v.target.FailureBytes = failureBytes
+			}
+			f.vms[0].target.SetFault(plat.TargetFails)
+			disturb(f)
+			failures := 0
+			for range requests {
+				a := f.send(2, "GET", "/look/1", key)
+				if a.status == http.StatusInternalServerError {
+					failures++
+					assert.Equal(t, len(a.body), failureBytes)
+				}
+			}
+			assert.Assert(t, failures > 0)
+		})
+	}
+}
+
+// A failure that does not end came out as a complete answer of 128 KB.
+func TestFailureWithoutEndIsNoCompleteAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	for _, v := range f.vms[:2] {
+		v.target.SetRawResponse("HTTP/1.1 500 Internal Server Error\r\nX-Response-Signature: signed\r\nX-Request-Id: {id}\r\n\r\n", "x")
+	}
+	for range 5 {
+		a := f.sendWith(2, "GET", "/look/1", func(r *http.Request) {
+			r.Header.Set("X-Key", key)
+			r.Header.Set("X-Deadline-Milliseconds", "700")
+		})
+		assert.Assert(t, a.status != http.StatusInternalServerError, "%d bytes", len(a.body))
+	}
+}
--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -87,6 +87,9 @@
 	ServiceTime time.Duration
 	// Echo makes the target answer with the body of the request, in chunks.
 	Echo bool
+	// FailureBytes is the length of the body that the fault TargetFails sends in chunks. If
+	// it is 0, the body is that of other answers.
+	FailureBytes int
 	// HeedsDeadline makes a run that its deadline ends answer 504 then.
 	HeedsDeadline bool
 	// GiveUpTime is how long after the deadline such an answer is sent.
@@ -432,6 +435,11 @@
 		w.Header().Set("X-Response-Signature", SignaturePrefix+t.ID)
 	}
 	text := "answer to " + r.Header.Get("X-Request-Id")
+	if fault == TargetFails && t.FailureBytes > 0 {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, strings.Repeat("x", t.FailureBytes))
+		return
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(status)
 	if fault == TargetTruncates {
