--- a/stand/plat/target.go
+++ b/stand/plat/target.go
@@ -361,7 +361,29 @@
 	}
 	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, head)
-	writeWithoutEnd(c, repeated)
+	writeWithoutEnd(&pacedWriter{Writer: c}, repeated)
+}
+
+// pacedWriter writes pacedAfter bytes at full speed, and then pauses for pacedPause after
+// each write. More than a node may hold would take all of the machine's time.
+type pacedWriter struct {
+	io.Writer
+	written int
+}
+
+const (
+	pacedAfter = 512 << 10
+	pacedPause = 5 * time.Millisecond
+)
+
+// Write writes to the underlying writer.
+func (w *pacedWriter) Write(p []byte) (int, error) {
+	if w.written > pacedAfter {
+		time.Sleep(pacedPause)
+	}
+	n, err := w.Writer.Write(p)
+	w.written += n
+	return n, err
 }
 
 func (t *Target) rejectsEarly() bool {
