Soak: late heartbeats, kills after a departure, addresses of other services

Cause: the soak dropped heartbeats but never delivered one late, a replaced target was always of the same service, and none said that it leaves right before its node was killed.

Change: one heartbeat in ten arrives up to 3 s late; a target announces that it leaves and its node is killed 0.2 s later; the address of a target goes to one of another service, which the settings file names. The checker holds a departure also after a restart of the node, once it has settled, and finds requests at targets of another service.

--- a/stand/grind/callers.go
+++ b/stand/grind/callers.go
@@ -204,9 +204,9 @@
 	for _, v := range c.vms {
 		for _, t := range v.targets.all() {
 			for _, run := range t.Runs() {
-				r.Runs = append(r.Runs, Execution{Run: run, VM: v.name, Zone: v.zone})
+				r.Runs = append(r.Runs, Execution{Run: run, VM: v.name, Zone: v.zone, Service: t.Service})
 			}
-			r.Arrivals[v.service] = append(r.Arrivals[v.service], t.Arrivals()...)
+			r.Arrivals[t.Service] = append(r.Arrivals[t.Service], t.Arrivals()...)
 		}
 	}
 	sort.SliceStable(r.Runs, func(i, j int) bool { return r.Runs[i].At.Before(r.Runs[j].At) })
--- a/stand/grind/check.go
+++ b/stand/grind/check.go
@@ -82,6 +82,8 @@
 type Execution struct {
 	plat.Run
 	VM, Zone string
+	// Service is that of the target.
+	Service string
 }
 
 // ChangeKind is the kind of a change that an operator or a target made.
@@ -171,6 +173,7 @@
 	for i := range r.Outcomes {
 		c.checkOutcome(&r.Outcomes[i])
 	}
+	c.checkServices()
 	c.checkRates()
 	c.checkZones()
 	c.checkTargets()
@@ -310,6 +313,21 @@
 	return false
 }
 
+// serviceOf maps the beginning of each path to the service that runs its requests.
+var serviceOf = map[string]string{"/look/": "search", "/lodge/": "custody", "/custody/": "custody", "/venue/": "ceremony", "/" + temporaryRoute + "/": "ceremony"}
+
+// checkServices checks that each request runs at a target of its service. Addresses go from
+// targets of one service to those of another.
+func (c *checker) checkServices() {
+	for _, r := range c.Runs {
+		for prefix, service := range serviceOf {
+			if strings.HasPrefix(r.URI, prefix) && r.Service != "" && r.Service != service {
+				c.addViolation("a request runs at a target of its service", "request %s, %s, at %s of %s", r.ID, r.URI, r.ExpectedTarget, r.Service)
+			}
+		}
+	}
+}
+
 // checkRates checks the rate and burst of each workspace that has a RateSet change.
 func (c *checker) checkRates() {
 	sentAt := make(map[string]time.Time, len(c.Outcomes))
@@ -418,11 +436,11 @@
 	c.checkSaidLeaving(byTarget)
 }
 
-// checkDraining checks that a target gets no new requests after drainBound. The
-// runs are those at the target.
+// checkDraining checks that a target gets no new requests after drainBound, also after a
+// restart of its node. The runs are those at the target.
 func (c *checker) checkDraining(leaving Change, runs []Execution) {
 	for _, r := range runs {
-		if r.At.After(leaving.At.Add(drainBound)) && !c.Disturbed(r.VM, leaving.At.Add(-settleTime), r.At) {
+		if r.At.After(leaving.At.Add(drainBound)) && !c.Disturbed(r.VM, r.At.Add(-settleTime), r.At) && !c.Disturbed(c.originOf(r.ID), r.At.Add(-settleTime), r.At) {
 			c.addViolation("a leaving target gets no new requests", "request %s at %s, %s after it announced that it leaves", r.ID, leaving.Object, r.At.Sub(leaving.At))
 		}
 	}
--- a/stand/grind/check_test.go
+++ b/stand/grind/check_test.go
@@ -276,3 +276,30 @@
 		assert.Assert(t, len(grind.Check(r)) > 0)
 	}
 }
+
+// The node beside a target that leaves is killed: the bound holds again once the new process
+// has settled.
+func TestCheckFindsRequestsAtALeavingTargetAfterARestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		runAt float64
+		want  int
+	}{"settled": {runAt: 9, want: 1}, "not settled": {runAt: 6, want: 0}} {
+		t.Run(name, func(t *testing.T) {
+			r := faultFreeRecord()
+			r.Changes = append(r.Changes, grind.Change{At: at(3), Kind: grind.TargetLeaves, Object: "i-2", VM: "vm-2"})
+			r.Disturbed = func(component string, from, to time.Time) bool {
+				return component == "vm-2" && from.Before(at(5)) && to.After(at(3.2))
+			}
+			addRequest(r, c.runAt, 1, unchanged)
+			assert.Equal(t, len(grind.Check(r)), c.want, "%v", grind.Check(r))
+		})
+	}
+}
+
+func TestCheckFindsRequestsAtATargetOfAnotherService(t *testing.T) {
+	for service, want := range map[string]int{"search": 0, "custody": 1} {
+		r := faultFreeRecord()
+		addRequest(r, 3, 1, func(_ *grind.Outcome, run *grind.Execution) { run.URI, run.Service = "/look/1", service })
+		assert.Equal(t, len(grind.Check(r)), want, "%v", grind.Check(r))
+	}
+}
--- a/stand/grind/faults.go
+++ b/stand/grind/faults.go
@@ -69,7 +69,7 @@
 func (c *cluster) runSideActions(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		v := c.vms[random.IntN(len(c.vms))]
-		const faultKinds, targetKinds = 3, 2
+		const faultKinds, targetKinds = 5, 2
 		kind := random.IntN(faultKinds + targetKinds)
 		if c.options.Plan == PlanWork {
 			kind = faultKinds + kind%targetKinds
@@ -93,6 +93,20 @@
 	case 2:
 		return c.restoreStore(ctx, random)
 	case 3:
+		says := byHeartbeat
+		if random.IntN(2) == 0 {
+			says = byDeregistration
+		}
+		c.background.Add(1)
+		go func() {
+			defer c.background.Done()
+			c.killAfterLeaving(ctx, v, says)
+		}()
+		return "the target leaves, and its node is killed"
+	case 4:
+		c.moveTarget(ctx, v)
+		return "the address goes to a target of another service"
+	case 5:
 		rate := random.IntN(maxNamedLimit)
 		c.limitRate(ctx, v, rate, minLimitTime+time.Duration(random.Int64N(int64(maxLimitTime-minLimitTime))))
 		return fmt.Sprintf("target names a limit of %d requests per second", rate)
--- a/stand/grind/grind.go
+++ b/stand/grind/grind.go
@@ -37,6 +37,9 @@
 	minServedShare    = 0.97
 	stopTimeout       = 7 * time.Second
 	heartbeatInterval = 500 * time.Millisecond
+	// lateHeartbeatPercent of the heartbeats arrive late, by up to maxHeartbeatDelay.
+	lateHeartbeatPercent = 10
+	maxHeartbeatDelay    = 3 * time.Second
 )
 
 // Options are the options of the command stand platform.
@@ -137,8 +140,9 @@
 // vm is one VM, with the process of its node and its target.
 type vm struct {
 	name, zone, ip, settings string
-	service                  string
-	process                  *fleet.Process
+	// service is the service of the VM's first target.
+	service string
+	process *fleet.Process
 	// targets holds all incarnations of the target.
 	targets targetSet
 	// targetLink is the proxy between the node and the target.
@@ -240,7 +244,7 @@
 		if v.targetLink, err = proxy.New(v.address(portTargetProxy), v.address(portTarget)); err != nil {
 			return err
 		}
-		if err := os.WriteFile(v.settings, settings(v, c.storeLink.Address()), 0o600); err != nil {
+		if err := os.WriteFile(v.settings, settings(v, v.service, c.storeLink.Address()), 0o600); err != nil {
 			return fmt.Errorf("write the settings of %s: %w", v.name, err)
 		}
 		c.vms = append(c.vms, v)
@@ -262,6 +266,8 @@
 
 // sendHeartbeats sends the heartbeats of all targets until done is closed.
 func (c *cluster) sendHeartbeats() {
+	const lateHeartbeats = 1 << 33
+	random := rand.New(rand.NewPCG(c.options.Seed, lateHeartbeats))
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -271,9 +277,13 @@
 		case <-ticker.C:
 		}
 		for _, v := range c.vms {
+			delay := time.Duration(0)
+			if c.options.FaultDuration > 0 && random.IntN(100) < lateHeartbeatPercent {
+				delay = time.Duration(random.Int64N(int64(maxHeartbeatDelay)))
+			}
 			go func() {
 				// An error means that the node is down or frozen.
-				_ = v.targets.sendHeartbeat(v.address(portReports))
+				_ = v.targets.sendHeartbeat(v.address(portReports), delay)
 			}()
 		}
 	}
--- a/stand/grind/setup.go
+++ b/stand/grind/setup.go
@@ -10,15 +10,15 @@
 	"github.com/greengagewind/greengagewind/stand/plat"
 )
 
-// settings returns the settings file of the node on a VM.
-func settings(v *vm, storeAddress string) []byte {
+// settings returns the settings file of the node on a VM whose target is one of service.
+func settings(v *vm, service, storeAddress string) []byte {
 	lines := []string{
 		fmt.Sprintf("node_name = %q", v.name),
 		fmt.Sprintf("ip = %q", v.ip),
 		fmt.Sprintf("zone = %q", v.zone),
 		fmt.Sprintf("internal_ports = [%d, %d]", firstInternalPort, lastInternalPort),
 		fmt.Sprintf("application = %q", v.address(portTargetProxy)),
-		fmt.Sprintf("service = %q", v.service),
+		fmt.Sprintf("service = %q", service),
 		`bounds = ["revoke=5000ms", "revoke_everywhere=true", "grace=6s", "retry_budget_ratio=0.2", "budget_slack=50", "cold_overage=1.5", "cold_slack=5"]`,
 		"[listen]",
 		fmt.Sprintf("outbound = %q", v.address(portCallers)),
--- a/stand/grind/targets.go
+++ b/stand/grind/targets.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +23,9 @@
 	// downTime is the time between the stop of one incarnation and the start of
 	// the next at the same address.
 	downTime = 500 * time.Millisecond
+	// reuseDelay is the time after which the address of a target may go to one of another
+	// service.
+	reuseDelay = 2 * time.Second
 )
 
 // targetSet holds the incarnations of the target of one VM.
@@ -52,16 +57,21 @@
 	return append([]*plat.Target{}, l.incarnations...)
 }
 
-// sendHeartbeat sends a heartbeat of the latest incarnation to the address control.
-// It does nothing if heartbeats are paused.
-func (l *targetSet) sendHeartbeat(control string) error {
+// sendHeartbeat sends a heartbeat of the latest incarnation to the address control, where
+// it arrives after a delay. It does nothing if heartbeats are paused.
+func (l *targetSet) sendHeartbeat(control string, delay time.Duration) error {
 	l.mu.Lock()
 	target, heartbeatsPaused, coldFor := l.latest, l.heartbeatsPaused, max(time.Until(l.warmAt), 0)
 	l.mu.Unlock()
 	if heartbeatsPaused {
 		return nil
 	}
-	return target.SendHeartbeat(control, "ready", coldFor)
+	body, err := target.Heartbeat("ready", coldFor)
+	if err != nil {
+		return err
+	}
+	time.Sleep(delay)
+	return target.Announce(http.MethodPut, control, body)
 }
 
 // setReplacing records whether a replacement is in progress. If replacing is true
@@ -111,7 +121,7 @@
 		defer c.background.Done()
 		defer v.targets.setReplacing(false)
 		if isPlanned {
-			c.drainTarget(ctx, v, says)
+			c.drainTarget(ctx, v, says, extraServingTime)
 		}
 		if err := c.restartTarget(ctx, v); err != nil {
 			c.logEvent(err.Error())
@@ -129,9 +139,9 @@
 )
 
 // drainTarget makes a target announce that it leaves. The target then keeps serving
-// for drainBound + extraServingTime. Unless the announcement was its deregistration, the
+// for drainBound + serveFor. Unless the announcement was its deregistration, the
 // target deregisters at the end.
-func (c *cluster) drainTarget(ctx context.Context, v *vm, says announcement) {
+func (c *cluster) drainTarget(ctx context.Context, v *vm, says announcement, serveFor time.Duration) {
 	target := v.targets.current()
 	v.targets.setHeartbeatsPaused(true)
 	var err error
@@ -146,7 +156,7 @@
 	if err == nil && says != byResponses {
 		c.history.addChange(Change{At: time.Now(), Kind: TargetLeaves, Object: target.ID, VM: v.name})
 	}
-	sleep(ctx, drainBound+extraServingTime)
+	sleep(ctx, drainBound+serveFor)
 	if says != byDeregistration {
 		// The target ends even when its node does not answer.
 		_ = target.Deregister(v.address(portReports))
@@ -169,13 +179,70 @@
 	go func() {
 		defer c.background.Done()
 		defer v.targets.setReplacing(false)
-		c.drainTarget(ctx, v, byResponses)
+		c.drainTarget(ctx, v, byResponses, extraServingTime)
 		if err := c.restartTarget(ctx, v); err != nil {
 			c.logEvent(err.Error())
 		}
 	}()
 }
 
+// killAfterLeaving makes the target of a VM announce that it leaves, and kills the node
+// right after its acknowledgement. The target serves long enough for the next process of
+// the node to use it.
+func (c *cluster) killAfterLeaving(ctx context.Context, v *vm, says announcement) {
+	if !v.targets.setReplacing(true) {
+		return
+	}
+	const killDelay, longServingTime = 200 * time.Millisecond, 7 * time.Second
+	c.background.Add(1)
+	go func() {
+		defer c.background.Done()
+		defer v.targets.setReplacing(false)
+		sleep(ctx, killDelay)
+		c.killProcess(v)
+	}()
+	c.drainTarget(ctx, v, says, longServingTime)
+	if err := c.restartTarget(ctx, v); err != nil {
+		c.logEvent(err.Error())
+	}
+}
+
+// moveTarget ends the target of a VM without a word and gives its address to a target of
+// the next service. If a target has been moved before, it goes back.
+func (c *cluster) moveTarget(ctx context.Context, v *vm) {
+	if !v.targets.setReplacing(true) {
+		return
+	}
+	service := v.service
+	if v.targets.current().Service == v.service {
+		service = serviceNames[(indexOf(serviceNames, v.service)+1)%len(serviceNames)]
+	}
+	c.background.Add(1)
+	go func() {
+		defer c.background.Done()
+		defer v.targets.setReplacing(false)
+		v.targets.setHeartbeatsPaused(true)
+		v.targets.current().Stop()
+		c.history.addDisturbance(targetsName, time.Now(), reuseDelay+coldDuration)
+		if err := os.WriteFile(v.settings, settings(v, service, c.storeLink.Address()), 0o600); err != nil {
+			c.logEvent(err.Error())
+		}
+		sleep(ctx, reuseDelay)
+		if err := c.startTarget(v, service, coldDuration); err != nil {
+			c.logEvent(err.Error())
+		}
+	}()
+}
+
+func indexOf(list []string, s string) int {
+	for i, other := range list {
+		if other == s {
+			return i
+		}
+	}
+	return -1
+}
+
 // limitRate makes the target of a VM name a rate limit, in requests per second, in its
 // responses for the given duration. If it names one already, limitRate does nothing.
 func (c *cluster) limitRate(ctx context.Context, v *vm, rate int, duration time.Duration) {
