--- a/gage/transport/mesh/target.go
+++ b/gage/transport/mesh/target.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"maps"
 	"math"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -31,13 +27,6 @@
 	// defaultLimit is the concurrency limit until the target has reported its
 	// number of slots.
 	defaultLimit = 16
-	// checkInterval is the time between identity checks of a suspect target.
-	checkInterval = 250 * time.Millisecond
-	checkTimeout  = 600 * time.Millisecond
-	// stallTimeout is how long a target with requests in flight may send no
-	// response before it becomes suspect. The time is longer for a target whose
-	// requests usually run long.
-	stallTimeout = 1200 * time.Millisecond
 	// Bounds.ColdOverage lets a cold target receive more requests than its cold
 	// rate. The gate uses only coldOverageShare of this excess.
 	coldOverageShare = 0.4
@@ -48,34 +37,8 @@
 	// that named it. Responses overtake each other, so that one without the limit may be
 	// older.
 	rateLimitHold = 500 * time.Millisecond
-	// maxHeartbeatDelay is the time within which a heartbeat arrives. What it says may be
-	// that old.
-	maxHeartbeatDelay = 10 * time.Second
-	// A node remembers rememberDeparted, and at most maxDeparted, target processes that
-	// have said that they are gone.
-	rememberDeparted = 10 * time.Minute
-	maxDeparted      = 64
-	// maxCold is the longest cold time that a target can name.
-	maxCold = time.Hour
 )
 
-// Heartbeat is the state that a target reports about itself.
-type Heartbeat struct {
-	// ID usually identifies one process of the target. Processes with the same
-	// ID differ in StartedAt.
-	ID string
-	// StartedAt is the Unix time in milliseconds at which the target process
-	// started, 0 if the heartbeat does not state it.
-	StartedAt int64
-	// Sequence grows with each heartbeat of one process.
-	Sequence int64
-	Service  string
-	Slots    int
-	Phase    gage.TargetPhase
-	// Cold is how long the target stays cold, from the time of the heartbeat.
-	Cold time.Duration
-}
-
 // localTarget tracks the target on this VM and admits requests to it.
 type localTarget struct {
 	mesh   *Mesh
@@ -100,9 +63,9 @@
 	phaseKnown bool
 	// departed holds target processes that have said that they are gone, by ID.
 	departed map[string]departure
-	// identityConfirmed is true if the target has reported its identity since
-	// this node started, since the target was last marked suspect, and since its
-	// zone last returned to service. While it is false, requests are refused.
+	// identityConfirmed is true if the target's identity is known since this node
+	// started, since the target was last marked suspect, and since its zone last
+	// returned to service. It implies phaseKnown. While it is false, requests are refused.
 	identityConfirmed bool
 	// createdAt is when this node started.
 	createdAt time.Time
@@ -140,13 +103,6 @@
 	wake chan struct{}
 }
 
-// departure is what a target process said when it was gone.
-type departure struct {
-	// startedAt is the Unix time in milliseconds that the process did not start after.
-	startedAt int64
-	heardAt   time.Time
-}
-
 func newLocalTarget(m *Mesh) *localTarget {
 	now := m.options.Clock.Now()
 	t := &localTarget{
@@ -169,108 +125,6 @@
 	return t
 }
 
-// HandleHeartbeat applies a heartbeat of the target on this VM. An outdated
-// heartbeat is ignored.
-func (m *Mesh) HandleHeartbeat(now time.Time, r Heartbeat) {
-	t := m.localTarget
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.isStale(r) {
-		m.log.info("ReportIgnored", zap.String("Target", r.ID), zap.Int64("Born", r.StartedAt), zap.Int64("Sequence", r.Sequence),
-			zap.String("Known", t.id), zap.Int64("KnownBorn", t.startedAt), zap.Int64("KnownSequence", t.sequence))
-		return
-	}
-	stateBefore := t.stateLocked(now)
-	t.adoptIdentity(now, r.ID, r.StartedAt)
-	t.sequence, t.service, t.hasReported = r.Sequence, r.Service, true
-	t.phaseKnown = t.phaseKnown || r.Phase != gage.TargetServing || t.sentSince(now, t.createdAt)
-	if t.sentSince(now, t.reopenedAt) {
-		t.reopenedAt = time.Time{}
-	}
-	t.identityConfirmed = t.phaseKnown && t.reopenedAt.IsZero()
-	if !t.identityConfirmed {
-		t.wakeMonitor()
-	}
-	if !t.saidLeaving || r.Phase != gage.TargetServing {
-		t.setPhase(now, r.Phase)
-	}
-	if r.Slots > 0 {
-		t.gate.Limit = max(1, int(float64(r.Slots)*slotUtilization))
-	}
-	t.updateColdRate()
-	if until := now.Add(r.Cold); until.After(t.coldUntil) || t.sentSince(now, t.coldLearnedAt) {
-		t.setCold(now, until)
-	}
-	t.gate.Advance(now)
-	stateAfter := t.stateLocked(now)
-	if stateBefore.ID != stateAfter.ID || stateBefore.Phase != stateAfter.Phase || stateBefore.Service != stateAfter.Service || (stateBefore.ColdRemaining > 0) != (stateAfter.ColdRemaining > 0) {
-		m.options.Logger.Info("TargetChanged", zap.String("Target", r.ID), zap.String("Service", r.Service), zap.String("Phase", string(r.Phase)),
-			zap.Duration("Cold", r.Cold), zap.Int("Slots", r.Slots), zap.Int64("Born", r.StartedAt), zap.Int64("Sequence", r.Sequence))
-		m.broadcastSoon()
-	}
-}
-
-// setCold records when the cold start of the target ends.
-func (t *localTarget) setCold(now, until time.Time) {
-	t.coldUntil, t.coldLearnedAt = until, now
-	t.gate.SetCold(now, until)
-}
-
-// sentSince reports whether a heartbeat that arrives now was certainly sent after a time.
-func (t *localTarget) sentSince(now, earlier time.Time) bool {
-	return now.Sub(earlier) > maxHeartbeatDelay
-}
-
-// isStale reports whether a heartbeat is older than the known state.
-func (t *localTarget) isStale(r Heartbeat) bool {
-	if d, found := t.departed[r.ID]; found && r.StartedAt <= d.startedAt {
-		return true
-	}
-	if r.StartedAt != t.startedAt {
-		return r.StartedAt < t.startedAt
-	}
-	if r.ID != t.id {
-		return t.id != "" && t.startedAt != 0
-	}
-	return r.Sequence <= t.sequence || t.phase == gage.TargetGone
-}
-
-// Depart marks the target process with the given ID as permanently gone. startedAt
-// is the Unix time in milliseconds at which that process started, or 0 if unknown.
-// If another target process is known, or if a known startedAt is before the start of the
-// current process, the current process stays in service.
-func (m *Mesh) Depart(now time.Time, id string, startedAt int64) {
-	t := m.localTarget
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.rememberDeparture(now, id, startedAt)
-	if t.id == "" {
-		// This node has restarted. A later process of the target starts after now.
-		t.adoptIdentity(now, id, max(startedAt, now.UnixMilli()))
-	}
-	if id != t.id || (startedAt != 0 && startedAt < t.startedAt && t.hasReported) {
-		return
-	}
-	t.setPhase(now, gage.TargetGone)
-	m.options.Logger.Info("TargetChanged", zap.String("Target", id), zap.String("Phase", string(gage.TargetGone)))
-	m.broadcastSoon()
-}
-
-// rememberDeparture keeps heartbeats of a process that is gone, and that arrive late, from
-// bringing it back.
-func (t *localTarget) rememberDeparture(now time.Time, id string, startedAt int64) {
-	maps.DeleteFunc(t.departed, func(_ string, d departure) bool { return now.Sub(d.heardAt) > rememberDeparted })
-	if startedAt == 0 {
-		startedAt = now.UnixMilli()
-		if id == t.id && t.startedAt != 0 {
-			startedAt = t.startedAt
-		}
-	}
-	if _, found := t.departed[id]; found || len(t.departed) < maxDeparted {
-		t.departed[id] = departure{startedAt: max(startedAt, t.departed[id].startedAt), heardAt: now}
-	}
-}
-
 // adoptIdentity resets the state if id and startedAt are those of a new target
 // process. If the ID has changed, it refuses the waiting requests, which were
 // meant for the earlier process.
@@ -438,147 +292,6 @@
 	t.doubt(now)
 }
 
-// monitor detects stalls and checks the identity of a suspect target until ctx
-// ends.
-func (t *localTarget) monitor(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-t.wake:
-		}
-		now := t.mesh.options.Clock.Now()
-		t.checkStall(now)
-		if check, due := t.checkDue(now); due {
-			t.checkIdentity(ctx, check)
-		}
-	}
-}
-
-var errStalled = errors.New("the target has requests in flight but sends no responses")
-
-func (t *localTarget) checkStall(now time.Time) {
-	t.mu.Lock()
-	stalled := t.identityConfirmed && t.gate.InFlight() > 0 && now.Sub(t.progressAt) > max(stallTimeout, 3*t.gate.MeanRunTime())
-	gate := t.gate
-	t.mu.Unlock()
-	if stalled {
-		t.markSuspect(now, gate, errStalled)
-	}
-}
-
-// identityCheck is a health check that asks a target process for its identity.
-type identityCheck struct {
-	path string
-	// id is the ID of the process that is expected to answer, "" if none is known.
-	id      string
-	askedAt time.Time
-}
-
-func (t *localTarget) checkDue(now time.Time) (check identityCheck, due bool) {
-	s := t.mesh.site.Load()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s == nil || t.identityConfirmed || t.zoneClosed || t.phase != gage.TargetServing || t.mesh.leaving.Load() {
-		return identityCheck{}, false
-	}
-	service := s.Service(t.service)
-	if service == nil || service.HealthPath == "" {
-		return identityCheck{}, false
-	}
-	return identityCheck{path: service.HealthPath, id: t.id, askedAt: now}, true
-}
-
-// checkIdentity requests the target's health check path to learn its identity. The
-// request names the expected process, so that the target of another service, whose health
-// check path may be another, does not run it.
-func (t *localTarget) checkIdentity(ctx context.Context, check identityCheck) {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	names := t.mesh.options.HeaderNames
-	header := http.Header{names.RequestID: {fmt.Sprintf("%016x", uint64(check.askedAt.UnixNano()))}, "Connection": {"close"}}
-	if check.id != "" {
-		header[names.ExpectedTarget] = []string{check.id}
-	}
-	response, err := t.checkClient.Do(ctx, check.askedAt, t.mesh.options.Self.TargetAddress, &hop.Request{
-		Method: http.MethodGet, RequestURI: check.path, Host: t.mesh.options.Self.TargetAddress, Header: header,
-	})
-	t.mesh.stats.identityChecks.Inc()
-	if err != nil {
-		t.mesh.log.info("TargetNotChecked", zap.Error(err))
-		return
-	}
-	defer func() { _ = response.Body.Close() }()
-	targetID := response.Header.Get(names.TargetID)
-	if targetID == "" && response.Status != http.StatusMisdirectedRequest {
-		t.mesh.log.info("TargetNotChecked", zap.Int("Status", response.Status))
-		return
-	}
-	t.handleIdentity(t.mesh.options.Clock.Now(), check, targetID, response.Status, response.Header)
-}
-
-// handleIdentity records the result of an identity check. The health that its status
-// reports may be wrong, and is ignored for a process whose phase is known. Any other
-// process may be leaving: it may have said so before this node started.
-func (t *localTarget) handleIdentity(now time.Time, check identityCheck, id string, status int, header http.Header) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	wasReplaced := t.id != check.id && t.id != id
-	if t.identityConfirmed || wasReplaced || check.askedAt.Before(t.doubtedAt) {
-		return
-	}
-	if t.id != "" && id != t.id {
-		t.handleOtherProcess(id)
-		return
-	}
-	isHealthy := status >= 200 && status < 300
-	if !isHealthy && !t.phaseKnown {
-		t.mesh.log.info("TargetNotChecked", zap.String("Target", id), zap.Int("Status", status), zap.Bool("HasReported", t.hasReported))
-		return
-	}
-	cold, isNamed, err := parseCold(header.Get(t.mesh.options.HeaderNames.ColdMillis))
-	if err != nil {
-		t.mesh.log.warn("TargetNotChecked", zap.String("Target", id), zap.Error(err))
-		return
-	}
-	t.adoptIdentity(now, id, t.startedAt)
-	t.readNotices(now, header)
-	t.identityConfirmed, t.phaseKnown, t.progressAt, t.reopenedAt = true, true, now, time.Time{}
-	t.updateColdRate()
-	// A heartbeat that arrived since the question may be newer than the answer.
-	if until := now.Add(cold); until.After(t.coldUntil) || isNamed && t.coldLearnedAt.Before(check.askedAt) {
-		t.setCold(now, until)
-	}
-	t.mesh.options.Logger.Info("TargetChecked", zap.String("Target", id), zap.String("Service", t.service), zap.Duration("Cold", t.gate.ColdRemaining(now)))
-	t.mesh.broadcastSoon()
-}
-
-// parseCold parses the time for which a target stays cold, in milliseconds. isNamed is
-// false if the text is empty.
-func parseCold(text string) (cold time.Duration, isNamed bool, err error) {
-	if text == "" {
-		return 0, false, nil
-	}
-	millis, err := strconv.ParseFloat(text, 64)
-	// Written so that NaN is refused too.
-	if isInRange := millis >= 0 && millis <= float64(maxCold.Milliseconds()); err != nil || !isInRange {
-		return 0, false, fmt.Errorf("the cold time %.40q is not a number of milliseconds from 0 to %d", text, maxCold.Milliseconds())
-	}
-	return time.Duration(millis * float64(time.Millisecond)), true, nil
-}
-
-// handleOtherProcess records that another process than the known one answers at the
-// target's address. It may be of another service, whose health check path this node does
-// not know, so that only a heartbeat can bring the target back. id is "" if the process
-// did not name its own.
-func (t *localTarget) handleOtherProcess(id string) {
-	t.mesh.options.Logger.Info("TargetReplaced", zap.String("Target", t.id), zap.String("Service", t.service), zap.String("Found", id))
-	t.service, t.hasReported = "", false
-}
-
 // admit waits until a request may run at the target. It returns the gate and the
 // ticket to pass to finish, or the reason for which the request is refused.
 func (t *localTarget) admit(ctx context.Context, now time.Time, w *targetRequest) (*slots.Gate, *slots.Ticket, gage.Reason) {
