The late-heartbeat test counts from the zone's return

Cause: TestLateHeartbeatForestallsNoHealthCheck counted from before the zone was taken out of service. The bound holds from the zone's return; nothing else changes.

--- a/stand/plat/cold_test.go
+++ b/stand/plat/cold_test.go
@@ -12,19 +12,19 @@
 
 // reopenCold takes the zone of the target of the service "booking" out of service and back,
 // and makes the target cold for the time coldFor meanwhile. It returns functions that
-// deliver heartbeats which the target sent before it was cold.
-func (f *fleet) reopenCold(coldFor time.Duration, heartbeats int) []func() {
+// deliver heartbeats which the target sent before it was cold, and when the zone returned.
+func (f *fleet) reopenCold(coldFor time.Duration, heartbeats int) (late []func(), reopenedAt time.Time) {
 	f.t.Helper()
 	v := f.vms[2]
 	f.store.Put("op/evacuate/zone-0", []byte("{}"))
 	f.waitForAll("the zone gets no requests", func(i int) bool { return f.send(i, "POST", "/book/1", key).status == 503 })
-	var late []func()
 	for range heartbeats {
 		late = append(late, f.lateHeartbeat(v))
 	}
 	v.target.TurnCold(coldFor)
+	reopenedAt = time.Now()
 	f.store.Remove("op/evacuate/zone-0")
-	return late
+	return late, reopenedAt
 }
 
 // A target was cold when its zone returned to service, as its health check said. A late
@@ -33,7 +33,7 @@
 	t.Parallel()
 	f := newFleet(t)
 	v := f.vms[2]
-	late := f.reopenCold(8*time.Second, 1)
+	late, _ := f.reopenCold(8*time.Second, 1)
 	f.waitFor("the target is used", func() bool { return f.send(0, "GET", "/inner/1", "").status == 200 })
 	late[0]()
 	start := time.Now()
@@ -49,8 +49,8 @@
 	f := newFleet(t)
 	v := f.vms[2]
 	v.target.SetHealthDelay(400 * time.Millisecond)
-	start := time.Now()
-	for _, arrive := range f.reopenCold(8*time.Second, 30) {
+	late, start := f.reopenCold(8*time.Second, 30)
+	for _, arrive := range late {
 		arrive()
 		f.sendSteadily(300, 100*time.Millisecond)
 	}
