--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -51,7 +51,6 @@
 	worker                  *worker
 	process                 *exec.Cmd
 	exited                  chan struct{}
-	logs                    *collector
 }
 
 // fleet is a small deployment on loopback addresses.
@@ -209,11 +208,10 @@
 		if err := os.WriteFile(m.settings, []byte(f.settingsText(m)), 0o600); err != nil {
 			return err
 		}
-		logs, output, err := newCollector(filepath.Join(f.dir, m.name+".log"))
+		output, err := os.Create(filepath.Join(f.dir, m.name+".log"))
 		if err != nil {
 			return err
 		}
-		m.logs = logs
 		m.process = exec.Command(filepath.Join(f.root, command[0]), command[1:]...)
 		m.process.Dir = f.root
 		m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GREENGAGEWIND_SETTINGS=" + m.settings}
@@ -258,8 +256,6 @@
 			_ = m.process.Process.Signal(syscall.SIGCONT)
 			_ = m.process.Process.Kill()
 			<-m.exited
-			m.logs.resume()
-			<-m.logs.done
 		}
 	}
 	_ = f.server.Close()
@@ -269,18 +265,17 @@
 	_ = os.RemoveAll(f.dir)
 }
 
-// keepLog copies the warnings and changes in a node's log to the record.
+// keepLog copies the first warnings and changes in a node's log to the record.
 func (f *fleet) keepLog(m *machine) {
 	text, err := os.ReadFile(filepath.Join(f.dir, m.name+".log"))
 	if err != nil {
 		return
 	}
-	f.record.add("log", "%s wrote %d bytes", m.name, len(text))
 	const maxLines = 60
 	kept := 0
 	for _, line := range strings.Split(string(text), "\n") {
 		if kept < maxLines && (strings.Contains(line, "Level=warn") || strings.Contains(line, "Level=error") || strings.Contains(line, "Event=ReportIgnored") ||
-			strings.Contains(line, "Event=Target") || strings.Contains(line, "Event=ConfigurationInForce") || strings.Contains(line, "Event=Store")) {
+			strings.Contains(line, "Event=TargetC") || strings.Contains(line, "Event=ConfigurationInForce") || strings.Contains(line, "Event=Store")) {
 			kept++
 			f.record.add("log", "%s: %.400s", m.name, line)
 		}
@@ -333,19 +328,18 @@
 	if c.key != "" {
 		r.Header.Set("X-Key", c.key)
 	}
-	f.record.add("client", "sends %s %s%s %s to %s", c.method, c.host, c.path, a.id, m.name)
 	client := &http.Client{Transport: f.client.Transport, Timeout: c.budget}
 	response, err := client.Do(r)
 	a.took = time.Since(a.sentAt)
 	if err != nil {
-		f.record.add("client", "%s: no answer after %s: %v", a.id, a.took.Round(time.Millisecond), err)
+		f.record.add("client", "%s %s%s %s to %s: no answer after %s: %v", c.method, c.host, c.path, a.id, m.name, a.took.Round(time.Millisecond), err)
 		return a
 	}
 	_, readErr := io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
 	a.took = time.Since(a.sentAt)
 	a.status, a.signed = response.StatusCode, response.Header.Get("X-Response-Signature") != "" && readErr == nil
-	f.record.add("client", "%s: answered %d, signed %t", a.id, a.status, a.signed)
+	f.record.add("client", "%s %s%s %s to %s: answered %d after %s, signed %t", c.method, c.host, c.path, a.id, m.name, a.status, a.took.Round(time.Millisecond), a.signed)
 	return a
 }
 
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -30,10 +30,10 @@
 type playCase func(f *fleet, isTroubled bool) error
 
 var cases = map[string]playCase{
-	"clock":   playClock,
-	"storm":   playStorm,
-	"log":     playLog,
-	"tenants": playTenants,
+	"clock":  playClock,
+	"odd":    playOdd,
+	"routes": playRoutes,
+	"storm":  playStorm,
 }
 
 func main() {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -28,6 +28,9 @@
 	zone    string
 	id      string
 	workFor time.Duration
+	// callInner makes the call that each run needs, and reports whether it succeeded. It
+	// is nil if runs make no calls.
+	callInner func(budget time.Duration) bool
 	// timeOfDay is the clock of the worker's machine.
 	timeOfDay func() time.Time
 
@@ -35,11 +38,12 @@
 	server   *http.Server
 	lifetime int
 	born     int64
-	bornAt   time.Time
-	sequence int64
-	state    string
-	stop     chan struct{}
-	runs     []run
+	// coldUntil is when the worker stops being cold.
+	coldUntil time.Time
+	sequence  int64
+	state     string
+	stop      chan struct{}
+	runs      []run
 }
 
 // run is a request that a worker began to work on.
@@ -58,7 +62,7 @@
 	}
 	w.mu.Lock()
 	w.lifetime++
-	w.born, w.bornAt, w.sequence, w.state = w.timeOfDay().UnixMilli(), time.Now(), 0, "ready"
+	w.born, w.coldUntil, w.sequence, w.state = w.timeOfDay().UnixMilli(), time.Now().Add(coldTime), 0, "ready"
 	w.stop = make(chan struct{})
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 10 * time.Second}
 	server, stop, lifetime := w.server, w.stop, w.lifetime
@@ -99,7 +103,7 @@
 func (w *worker) report() bool {
 	w.mu.Lock()
 	w.sequence++
-	cold := max(coldTime-time.Since(w.bornAt), 0)
+	cold := max(time.Until(w.coldUntil), 0)
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"server_info":{"service":%q,"version":"v1","zone":%q,"slots":60},"status":{"state":%q,"sequence":%d,"cold_remaining":"%dms"}}`,
 		w.address, w.born, w.service, w.zone, w.state, w.sequence, cold.Milliseconds())
 	text := fmt.Sprintf("heartbeat of %s, lifetime %d, state %s, sequence %d, born %d", w.id, w.lifetime, w.state, w.sequence, w.born)
@@ -155,7 +159,7 @@
 // ServeHTTP answers a health check or runs a request.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	state, cold, lifetime := w.state, max(coldTime-time.Since(w.bornAt), 0), w.lifetime
+	state, cold, lifetime := w.state, max(time.Until(w.coldUntil), 0), w.lifetime
 	w.mu.Unlock()
 	id := r.Header.Get("X-Request-Id")
 	if id != "" {
@@ -190,6 +194,20 @@
 	if state != "ready" {
 		rw.Header().Set("Connection", "close")
 	}
+	if w.callInner != nil && !w.callInner(deadlineOf(r)) {
+		rw.Header().Set("X-Response-Signature", fmt.Sprintf("%s.%s.500", w.id, id))
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	rw.Header().Set("X-Response-Signature", fmt.Sprintf("%s.%s.%d", w.id, id, len(body)))
 	_, _ = io.WriteString(rw, "done "+id)
 }
+
+// deadlineOf returns the time that a request leaves to the worker.
+func deadlineOf(r *http.Request) time.Duration {
+	millis, err := strconv.Atoi(r.Header.Get("X-Deadline-Milliseconds"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(millis) * time.Millisecond
+}
