Add tests of crowds of clients, which fail on the code as it stands

Clients that keep to no limit ended a process in a trial of our users. These tests start the node as processes of its own on loopback, with 64 MB and 450 descriptors, and put 300 clients of a kind at a port for five seconds. The process lives, stays within its memory (resident, and received but not read) and descriptors (250 sockets), and serves an ordinary request afterwards.

The crowds and bounds are fixed with this commit, before the product changes.

--- /dev/null
+++ b/stand/crowd/crowd_test.go
@@ -0,0 +1,122 @@
+package crowd_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// crowdSize is the number of clients in a crowd, crowdTime how long they send.
+	crowdSize = 300
+	crowdTime = 5 * time.Second
+)
+
+// checkCrowd puts a crowd at nodes. Their processes live on and stay within their memory
+// and descriptors, and serve an ordinary request afterwards.
+func checkCrowd(t *testing.T, crowd func(d *deployment) []member) {
+	t.Helper()
+	d := newDeployment(t)
+	clients := crowd(d)
+	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
+	defer cancel()
+	stop := watch(t, d.processes())
+	asked, served := 0, 0
+	ordinaryDone := make(chan struct{})
+	go func() {
+		defer close(ordinaryDone)
+		for ; ctx.Err() == nil; wait(ctx, 100*time.Millisecond) {
+			asked++
+			if d.isServed(d.vms[0], "/book/1") {
+				served++
+			}
+		}
+	}()
+	run(ctx, clients)
+	<-ordinaryDone
+	t.Logf("%d of %d ordinary requests were served beside the crowd", served, asked)
+	for i, most := range stop() {
+		p := d.vms[i].node
+		assert.Assert(t, p.Running(), "%s has ended", p.Name)
+		peak, err := peakResidentBytes(p)
+		assert.NilError(t, err)
+		t.Logf("%s: %d MB resident, %d MB resident and unread (%d MB unread), %d descriptors, %d sockets", p.Name,
+			peak>>20, (most.residentBytes+most.unreadBytes)>>20, most.unreadBytes>>20, most.descriptors, most.sockets)
+		assert.Check(t, peak <= memoryMegabytes<<20, "%s: %d MB resident", p.Name, peak>>20)
+		assert.Check(t, most.residentBytes+most.unreadBytes <= memoryMegabytes<<20, "%s: %d MB resident and unread", p.Name, (most.residentBytes+most.unreadBytes)>>20)
+		assert.Check(t, most.descriptors <= fileDescriptors, "%s: %d descriptors", p.Name, most.descriptors)
+		assert.Check(t, most.sockets <= fileDescriptors-reservedDescriptors, "%s: %d sockets", p.Name, most.sockets)
+	}
+	d.waitServed()
+}
+
+// checkAtCallersPort puts a crowd of one kind at the port for callers of one node.
+func checkAtCallersPort(t *testing.T, send sender) {
+	t.Helper()
+	checkCrowd(t, func(d *deployment) []member { return members(crowdSize, d.vms[0].address(portCallers), send) })
+}
+
+func TestIdleConnections(t *testing.T)          { checkAtCallersPort(t, sendNothing) }
+func TestShortLinesWithoutEnd(t *testing.T)     { checkAtCallersPort(t, sendShortLines) }
+func TestShortLinesWithinTheLimit(t *testing.T) { checkAtCallersPort(t, sendShortLinesSlowly) }
+func TestLineWithoutEnd(t *testing.T)           { checkAtCallersPort(t, sendLongLine) }
+func TestCompleteHeadsOfManyLines(t *testing.T) { checkAtCallersPort(t, sendCompleteHeads) }
+func TestEmptyLinesWithoutEnd(t *testing.T)     { checkAtCallersPort(t, sendEmptyLines) }
+func TestOtherProtocol(t *testing.T)            { checkAtCallersPort(t, sendOtherProtocol) }
+func TestStalledBodies(t *testing.T)            { checkAtCallersPort(t, sendStalledBody) }
+func TestChunksWithoutEnd(t *testing.T)         { checkAtCallersPort(t, sendChunks) }
+func TestChunkExtensionWithoutEnd(t *testing.T) { checkAtCallersPort(t, sendChunkExtension) }
+func TestTrailerWithoutEnd(t *testing.T)        { checkAtCallersPort(t, sendTrailer) }
+func TestAnswersThatAreNotRead(t *testing.T)    { checkAtCallersPort(t, sendWithoutReading) }
+func TestAnswersThatAreReadSlowly(t *testing.T) { checkAtCallersPort(t, readSlowly) }
+
+// callersMix holds the senders of TestAllKindsAtOnce.
+var callersMix = []sender{
+	sendNothing, sendShortLines, sendShortLinesSlowly, sendLongLine, sendCompleteHeads, sendEmptyLines,
+	sendStalledBody, sendChunks, sendTrailer, sendWithoutReading, readSlowly,
+}
+
+func mixedMembers(count int, address string) []member {
+	var crowd []member
+	for i := range count {
+		crowd = append(crowd, member{address, callersMix[i%len(callersMix)]})
+	}
+	return crowd
+}
+
+func TestAllKindsAtOnce(t *testing.T) {
+	checkCrowd(t, func(d *deployment) []member { return mixedMembers(crowdSize, d.vms[0].address(portCallers)) })
+}
+
+func TestAllKindsAtEveryNode(t *testing.T) {
+	checkCrowd(t, func(d *deployment) []member {
+		var crowd []member
+		for _, v := range d.vms {
+			crowd = append(crowd, mixedMembers(crowdSize, v.address(portCallers))...)
+		}
+		return crowd
+	})
+}
+
+func TestCrowdAtThePortForNodes(t *testing.T) {
+	kinds := map[string]sender{"idle": sendNothing, "header": forwardWithoutEnd, "body": forwardStalledBody}
+	for name, send := range kinds {
+		t.Run(name, func(t *testing.T) {
+			checkCrowd(t, func(d *deployment) []member { return members(crowdSize, d.vms[1].address(portPeers), send) })
+		})
+	}
+}
+
+func TestCrowdAtTheOtherPorts(t *testing.T) {
+	checkCrowd(t, func(d *deployment) []member {
+		v := d.vms[0]
+		return slices.Concat(
+			members(crowdSize/3, v.address(portReports), sendShortLines),
+			members(crowdSize/3, v.address(portReady), sendShortLines),
+			members(crowdSize/3, v.address(portMetrics), sendShortLines),
+		)
+	})
+}
--- a/stand/fleet/process.go
+++ b/stand/fleet/process.go
@@ -11,7 +11,9 @@
 
 // Process is an operating system process started by StartProcess.
 type Process struct {
-	Name    string
+	Name string
+	// PID is the ID of the process.
+	PID     int
 	command *exec.Cmd
 	output  *os.File
 	// done is closed when the process has exited.
@@ -37,7 +39,7 @@
 		_ = file.Close()
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
-	p := &Process{Name: name, command: command, output: file, done: make(chan struct{})}
+	p := &Process{Name: name, PID: command.Process.Pid, command: command, output: file, done: make(chan struct{})}
 	go func() {
 		p.err = command.Wait()
 		_ = file.Close()
