Headers of requests are bounded while they are read, one and all

Cause: max_header_bytes was only checked on the whole header. Until then the HTTP server parses up to 68 KB a connection, and a line of four bytes takes over 70 when parsed, more in the copies that are forwarded.

Change: the door counts bytes and lines while a header arrives. More bytes than the configuration allows get 431 at once. What the headers of a server take together comes out of the memory of its connections; when it does not fit, the slowest connection that takes no less than the mean is closed, so that long headers make way before an ordinary request does. A limit on the lines of one header was not chosen, since a client within max_header_bytes would meet it.

--- a/gage/state/evict/evict.go
+++ b/gage/state/evict/evict.go
@@ -14,6 +14,9 @@
 	// RequestBytes is the estimated memory that a request in hand adds, without its header
 	// and body: goroutines, and the buffers of a connection to its target.
 	RequestBytes = 32 << 10
+	// LineBytes is the estimated memory that a line of a header takes beyond its length: map
+	// entries and slices, in the copies that a request passes through.
+	LineBytes = 200
 	// requestConnShare is the share of the connections that may have a request in hand.
 	// The others leave room for clients whose requests can only be refused.
 	requestConnShare = 0.8
@@ -85,7 +88,10 @@
 // is no room, since the server is working for all others, and the connection is not added.
 func (t *Table) Open(now time.Time, value any) (c *Conn, evicted []*Conn, ok bool) {
 	for len(t.conns) >= t.maxConns || t.bytes+ConnBytes > t.maxBytes {
-		victim := t.slowest(false)
+		victim := t.slowest(anyConn)
+		if len(t.conns) < t.maxConns {
+			victim = t.slowest(t.isLarge)
+		}
 		if victim == nil {
 			return nil, evicted, false
 		}
@@ -157,7 +163,7 @@
 		return nil, false
 	}
 	for t.bytes+n > t.maxBytes {
-		victim := t.slowest(false)
+		victim := t.slowest(t.isLarge)
 		if victim == nil || victim == c {
 			return evicted, false
 		}
@@ -176,7 +182,7 @@
 		return nil, c.inHand
 	}
 	if t.inHand >= t.maxInHand {
-		victim := t.slowest(true)
+		victim := t.slowest(hasRequest)
 		if victim == nil {
 			return nil, false
 		}
@@ -188,16 +194,24 @@
 	return evicted, true
 }
 
-// slowest returns the connection that has waited longest for its client, or nil if the
-// server works for all of them. The time counts from the beginning of the request, whatever
-// the client has sent since: one that sends without end is not faster than one that stops.
-// If inHand is true, only connections with a request in hand count.
-func (t *Table) slowest(inHand bool) *Conn {
+// slowest returns the connection that has waited longest for its client among those for
+// which filter returns true, or nil if the server works for all of them. The time counts
+// from the beginning of the request, whatever the client has sent since: one that sends
+// without end is not faster than one that stops.
+func (t *Table) slowest(filter func(c *Conn) bool) *Conn {
 	var slowest *Conn
 	for _, c := range t.conns {
-		if c.waits > 0 && (c.inHand || !inHand) && (slowest == nil || c.since.Before(slowest.since)) {
+		if c.waits > 0 && filter(c) && (slowest == nil || c.since.Before(slowest.since)) {
 			slowest = c
 		}
 	}
 	return slowest
 }
+
+func anyConn(*Conn) bool { return true }
+
+func hasRequest(c *Conn) bool { return c.inHand }
+
+// isLarge reports whether a connection takes no less than the mean of all. Long headers make
+// way for each other before short ones do.
+func (t *Table) isLarge(c *Conn) bool { return c.bytes*int64(len(t.conns)) >= t.bytes }
--- a/gage/transport/guard/conn.go
+++ b/gage/transport/guard/conn.go
@@ -1,9 +1,12 @@
 package guard
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/greengagewind/greengagewind/gage/state/evict"
 )
@@ -20,8 +23,8 @@
 
 	// inHead is true until the header of a request has been read.
 	inHead bool
-	// hasBegun is true once the first bytes of the header have arrived.
-	hasBegun bool
+	// headBytes is how much was received since the wait for a header began.
+	headBytes int
 	// headWait is the wait for the header, which ends when the handler begins. A server
 	// that refuses a header gives the client time to read the response.
 	headWait int
@@ -32,23 +35,98 @@
 // NetConn returns the connection beneath.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// Read reads from the connection.
+// readAheadBytes is how much an HTTP server may read beyond a header in one go.
+const readAheadBytes = 4 << 10
+
+// Read reads from the connection. It ends in a header that is longer than it may be, or that
+// does not fit the memory. The HTTP server parses a header while it arrives, so a check of
+// the whole one would come too late.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.door.received(c)
+	if n == 0 {
+		return n, err
+	}
+	switch c.door.received(c, p[:n]) {
+	case headTooLong:
+		c.refuseHead()
+		return 0, errHeadTooLong
+	case headNotFitting:
+		c.abort()
+		return 0, errNoMemory
+	case headAccepted:
 	}
 	return n, err
 }
 
-// received tells that the client has sent something.
-func (d *Door) received(c *conn) {
+// headResult is the decision on a part of a header.
+type headResult string
+
+const (
+	headAccepted   headResult = "Accepted"
+	headTooLong    headResult = "TooLong"
+	headNotFitting headResult = "NotFitting"
+)
+
+// The HTTP server answers no errors of this type.
+var (
+	errHeadTooLong = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the header of the request is too long")}
+	errNoMemory    = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the headers of all requests take too much memory")}
+)
+
+// received accounts for bytes that the client has sent.
+func (d *Door) received(c *conn, text []byte) headResult {
+	limit := d.options.MaxHeaderBytes() + readAheadBytes
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if c.inHead && !c.hasBegun {
-		c.hasBegun = true
+	if !c.inHead {
+		d.mu.Unlock()
+		return headAccepted
+	}
+	if c.headBytes == 0 {
 		d.table.Begin(d.options.Clock.Now(), c.entry)
 	}
+	c.headBytes += len(text)
+	if c.headBytes > limit {
+		d.mu.Unlock()
+		return headTooLong
+	}
+	lines := bytes.Count(text, []byte("\n"))
+	evicted, fits := d.table.Grow(c.entry, int64(len(text)+lines*evict.LineBytes))
+	if !fits {
+		d.table.Close(c.entry)
+		d.signalRoom()
+	}
+	d.mu.Unlock()
+	d.abortAll(evicted)
+	if !fits {
+		d.closed.Inc()
+		d.log(1)
+		return headNotFitting
+	}
+	return headAccepted
+}
+
+// The limits of what is read and dropped after the response to a header that is too long. If
+// the connection were closed at once, it would be reset, and the client might not receive
+// the response.
+const (
+	dropTimeout  = 500 * time.Millisecond
+	maxDropBytes = 256 << 10
+)
+
+const headTooLongResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refuseHead answers a request whose header is too long.
+func (c *conn) refuseHead() {
+	now := c.door.options.Clock.Now()
+	if c.Conn.SetDeadline(now.Add(dropTimeout)) != nil {
+		return
+	}
+	if _, err := io.WriteString(c.Conn, headTooLongResponse); err != nil {
+		return
+	}
+	if c.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDropBytes)
+	}
 }
 
 // Write writes to the connection. Until it returns, the server waits for the client.
@@ -95,7 +173,7 @@
 // and not sent, which the kernel would hold for a while.
 func (c *conn) abort() {
 	c.door.mu.Lock()
-	isIdle := c.inHead && !c.hasBegun
+	isIdle := c.inHead && c.headBytes == 0
 	c.door.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && !isIdle {
 		_ = tcp.SetLinger(0)
--- a/gage/transport/guard/guard.go
+++ b/gage/transport/guard/guard.go
@@ -40,9 +40,11 @@
 	// MemoryBytes and Descriptors are what the process may use, 0 if they are not limited.
 	MemoryBytes int64
 	Descriptors int
-	Clock       gage.Clock
-	Logger      *zap.Logger
-	Metrics     *metrics.Set
+	// MaxHeaderBytes returns how long the header of a request may be.
+	MaxHeaderBytes func() int
+	Clock          gage.Clock
+	Logger         *zap.Logger
+	Metrics        *metrics.Set
 }
 
 // Share is the part of a process's limits that the connections of one server may take.
@@ -220,7 +222,7 @@
 		c.isRefused = !ok
 	case http.StateIdle:
 		d.table.Finish(d.options.Clock.Now(), c.entry)
-		c.inHead, c.hasBegun = true, false
+		c.inHead, c.headBytes = true, 0
 		c.headWait++
 		if d.needsRoom {
 			// The client may have sent its next request already. Those who wait take turns.
--- a/gage/transport/guard/guard_test.go
+++ b/gage/transport/guard/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,13 +25,16 @@
 	// takenInHand is how many requests of them are taken in hand at a time.
 	takenInHand = 8
 	timeout     = 5 * time.Second
-	request     = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	// maxHeaderBytes is the longest header of a request.
+	maxHeaderBytes = 16 << 10
+	request        = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 )
 
 // serve starts a server with a door and returns its address.
 func serve(t *testing.T, options guard.Options, handler http.HandlerFunc) string {
 	t.Helper()
 	options.Clock, options.Logger, options.Metrics = clock.System{}, zap.NewNop(), metrics.NewSet()
+	options.MaxHeaderBytes = func() int { return maxHeaderBytes }
 	refusal := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	door := guard.New("test", guard.Share{Memory: 1, Sockets: 1}, refusal, options)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -120,3 +124,53 @@
 		assert.Equal(t, n, http.StatusOK)
 	}
 }
+
+// headerOf returns a request whose header has a number of bytes, in lines as short as can be.
+func headerOf(bytes int) string {
+	var text strings.Builder
+	text.WriteString("GET / HTTP/1.1\r\nHost: a\r\n")
+	for i := 0; text.Len() < bytes-12; i++ {
+		fmt.Fprintf(&text, "%x:\r\n", i)
+	}
+	return text.String() + "\r\n"
+}
+
+func TestHeaderWithinTheLimitIsServed(t *testing.T) {
+	address := serve(t, guard.Options{MemoryBytes: 16 << 20}, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	c := connect(t, address, "")
+	for range 20 {
+		_, err := io.WriteString(c, headerOf(maxHeaderBytes))
+		assert.NilError(t, err)
+		n, err := status(c)
+		assert.NilError(t, err)
+		assert.Equal(t, n, http.StatusOK)
+	}
+}
+
+func TestHeaderWithoutEndIsRefused(t *testing.T) {
+	served := false
+	address := serve(t, guard.Options{}, func(http.ResponseWriter, *http.Request) { served = true })
+	n, err := status(connect(t, address, strings.TrimSuffix(headerOf(2*maxHeaderBytes), "\r\n")))
+	assert.NilError(t, err)
+	assert.Equal(t, n, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Assert(t, !served)
+}
+
+// Headers that do not fit the memory together close the slowest clients. An ordinary
+// request is served.
+func TestHeadersTogetherStayWithinTheMemory(t *testing.T) {
+	address := serve(t, guard.Options{MemoryBytes: 4 << 20}, func(http.ResponseWriter, *http.Request) {})
+	stalled := strings.TrimSuffix(headerOf(maxHeaderBytes), "\r\n")
+	var conns []net.Conn
+	for range 20 {
+		conns = append(conns, connect(t, address, stalled))
+		time.Sleep(5 * time.Millisecond)
+	}
+	n, err := status(connect(t, address, request))
+	assert.NilError(t, err)
+	assert.Equal(t, n, http.StatusOK)
+	_, err = status(conns[0])
+	assert.Assert(t, err != nil, "the slowest is closed")
+}
--- a/gage/transport/mesh/mesh.go
+++ b/gage/transport/mesh/mesh.go
@@ -187,8 +187,8 @@
 	peerDialTimeout  = 300 * time.Millisecond
 	peerIdleTimeout  = 20 * time.Second
 	peerMaxIdleConns = 256
-	// peerHeadBytes and peerHeadLines are what a node adds to the header of a target's
-	// response.
+	// peerHeadBytes and peerHeadLines are what a node adds to the header of a request or of
+	// a target's response.
 	peerHeadBytes = 4 << 10
 	peerHeadLines = 32
 )
@@ -442,6 +442,18 @@
 // CallerHandler returns the handler for requests of callers on this VM.
 func (m *Mesh) CallerHandler() http.Handler { return http.HandlerFunc(m.serveCaller) }
 
+// maxHeaderBytes is the longest header of a request while no configuration limits it.
+const maxHeaderBytes = 64 << 10
+
+// MaxHeaderBytes returns how long the header of a request may be: the limit of the
+// configuration, and what another node adds when it forwards the request.
+func (m *Mesh) MaxHeaderBytes() int {
+	if s := m.site.Load(); s != nil && s.Config.Limits.HeaderBytes > 0 {
+		return s.Config.Limits.HeaderBytes + peerHeadBytes
+	}
+	return maxHeaderBytes
+}
+
 // CallerRefusal returns the handler for requests of callers that the process has no room
 // for. They get 503 and do not run.
 func (m *Mesh) CallerRefusal() http.Handler {
