Bytes that were received and not read are bounded

Cause: the kernel lets the receive buffer of a connection grow for a client that sends fast, and nothing looked at the sum.

While so many requests are in hand that their unread bytes might exceed half of the server's memory, the door looks at them every 50 ms and closes the slowest, then those with most. With fewer in hand nothing runs.

With the share of unread bytes out of reach, TestUnreadBytesTogetherStayWithinTheMemory fails.

--- a/gage/state/evict/evict.go
+++ b/gage/state/evict/evict.go
@@ -3,7 +3,9 @@
 package evict
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -194,6 +196,53 @@
 	return evicted, true
 }
 
+// InHand returns the number of connections with a request in hand.
+func (t *Table) InHand() int { return t.inHand }
+
+// Shed removes connections with a request in hand until what the others have received and
+// the server has not read is at most limit, and returns them: those that wait for their
+// clients, the slowest first, then those with most unread bytes. unread returns the unread
+// bytes of a connection.
+func (t *Table) Shed(limit int64, unread func(c *Conn) int64) []*Conn {
+	type holder struct {
+		conn   *Conn
+		unread int64
+	}
+	var holders []holder
+	var sum int64
+	for _, c := range t.conns {
+		if !c.inHand {
+			continue
+		}
+		if n := unread(c); n > 0 {
+			holders = append(holders, holder{c, n})
+			sum += n
+		}
+	}
+	slices.SortStableFunc(holders, func(a, b holder) int {
+		aWaits, bWaits := a.conn.waits > 0, b.conn.waits > 0
+		switch {
+		case aWaits && bWaits:
+			return a.conn.since.Compare(b.conn.since)
+		case aWaits:
+			return -1
+		case bWaits:
+			return 1
+		}
+		return cmp.Compare(b.unread, a.unread)
+	})
+	var evicted []*Conn
+	for _, h := range holders {
+		if sum <= limit {
+			break
+		}
+		sum -= h.unread
+		t.Close(h.conn)
+		evicted = append(evicted, h.conn)
+	}
+	return evicted
+}
+
 // slowest returns the connection that has waited longest for its client among those for
 // which filter returns true, or nil if the server works for all of them. The time counts
 // from the beginning of the request, whatever the client has sent since: one that sends
--- a/gage/state/evict/evict_test.go
+++ b/gage/state/evict/evict_test.go
@@ -1,6 +1,7 @@
 package evict_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -132,6 +133,28 @@
 	}
 }
 
+func TestUnreadBytesBeyondTheLimitCloseStoppedClientsFirst(t *testing.T) {
+	table := evict.New(evict.Limits{Conns: 10, Bytes: 1 << 30})
+	unread := map[string]int64{"idle": 100, "stopped": 10, "stopped later": 10, "long": 30, "short": 10}
+	for i, name := range []string{"idle", "stopped later", "stopped", "short", "long"} {
+		c := open(t, table, at(time.Duration(10-i)*time.Second), name)
+		if name == "idle" {
+			continue
+		}
+		table.Resume(c, 0)
+		_, ok := table.Take(c)
+		assert.Assert(t, ok)
+		if strings.HasPrefix(name, "stopped") {
+			table.Wait(c)
+		}
+	}
+	of := func(c *evict.Conn) int64 { return unread[c.Value.(string)] }
+	assert.Equal(t, len(table.Shed(60, of)), 0)
+	assert.DeepEqual(t, names(table.Shed(15, of)), []string{"stopped", "stopped later", "long"})
+	assert.Equal(t, table.InHand(), 1)
+	assert.Equal(t, table.Len(), 2)
+}
+
 // Connections without a request take no room from requests.
 func TestIdleConnectionsLeaveRoomForRequests(t *testing.T) {
 	table := evict.New(evict.Limits{Conns: 1000, Bytes: 20 * evict.ConnBytes})
--- a/gage/transport/guard/conn.go
+++ b/gage/transport/guard/conn.go
@@ -118,7 +118,7 @@
 // refuseHead answers a request whose header is too long.
 func (c *conn) refuseHead() {
 	now := c.door.options.Clock.Now()
-	if c.Conn.SetDeadline(now.Add(dropTimeout)) != nil {
+	if c.SetDeadline(now.Add(dropTimeout)) != nil {
 		return
 	}
 	if _, err := io.WriteString(c.Conn, headTooLongResponse); err != nil {
--- a/gage/transport/guard/guard.go
+++ b/gage/transport/guard/guard.go
@@ -63,6 +63,10 @@
 
 	mu    sync.Mutex
 	table *evict.Table
+	// unreadLimit bounds the bytes that all connections have received and the server has not
+	// read. isWatching is true while shedUnread is due.
+	unreadLimit int64
+	isWatching  bool
 	// needsRoom is true while open waits, and room makes it try again.
 	needsRoom bool
 	room      chan struct{}
@@ -74,14 +78,16 @@
 // New returns the door of the server with the given name. It passes requests that may not
 // be taken in hand to refusal, which must not run them.
 func New(name string, share Share, refusal http.Handler, options Options) *Door {
+	l := limits(share, options)
 	return &Door{
-		name:    name,
-		refusal: refusal,
-		options: options,
-		table:   evict.New(limits(share, options)),
-		room:    make(chan struct{}, 1),
-		closed:  options.Metrics.GetOrCreateCounter(fmt.Sprintf("gage_connections_closed_total{Server=%q}", name)),
-		refused: options.Metrics.GetOrCreateCounter(fmt.Sprintf("gage_connections_refused_total{Server=%q}", name)),
+		name:        name,
+		refusal:     refusal,
+		options:     options,
+		table:       evict.New(l),
+		unreadLimit: int64(unreadShare * float64(l.Bytes)),
+		room:        make(chan struct{}, 1),
+		closed:      options.Metrics.GetOrCreateCounter(fmt.Sprintf("gage_connections_closed_total{Server=%q}", name)),
+		refused:     options.Metrics.GetOrCreateCounter(fmt.Sprintf("gage_connections_refused_total{Server=%q}", name)),
 	}
 }
 
@@ -220,6 +226,7 @@
 		c.inHead = false
 		evicted, ok = d.table.Take(c.entry)
 		c.isRefused = !ok
+		d.watchUnread()
 	case http.StateIdle:
 		d.table.Finish(d.options.Clock.Now(), c.entry)
 		c.inHead, c.headBytes = true, 0
--- a/gage/transport/guard/guard_test.go
+++ b/gage/transport/guard/guard_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,7 +39,7 @@
 	options.MaxHeaderBytes = func() int { return maxHeaderBytes }
 	refusal := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	door := guard.New("test", guard.Share{Memory: 1, Sockets: 1}, refusal, options)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := guard.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = door.Serve(server, listener) }()
@@ -174,3 +176,26 @@
 	_, err = status(conns[0])
 	assert.Assert(t, err != nil, "the slowest is closed")
 }
+
+// Clients send more requests than the server reads. What the kernel holds for them together
+// stays within the memory: some are closed, but none that has sent little.
+func TestUnreadBytesTogetherStayWithinTheMemory(t *testing.T) {
+	release := make(chan struct{})
+	address := serve(t, guard.Options{MemoryBytes: 4 << 20}, func(http.ResponseWriter, *http.Request) { <-release })
+	modest := connect(t, address, request)
+	const clients, piledUp = 31, 1 << 20
+	closed := make(chan error, clients)
+	for range clients {
+		c := connect(t, address, request)
+		go func() {
+			_, _ = io.WriteString(c, strings.Repeat(request, piledUp/len(request)))
+			_, err := status(c)
+			closed <- err
+		}()
+	}
+	assert.Assert(t, errors.Is(<-closed, syscall.ECONNRESET))
+	close(release)
+	n, err := status(modest)
+	assert.NilError(t, err)
+	assert.Equal(t, n, http.StatusOK)
+}
--- a/gage/transport/peek/peek.go
+++ b/gage/transport/peek/peek.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a look at a connection shows.
@@ -24,10 +26,7 @@
 // Conn returns the state of a connection, or of the one beneath that its method NetConn
 // returns. A connection that is not a TCP connection always counts as idle. Conn may be called while another goroutine reads.
 func Conn(c net.Conn) State {
-	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapper.NetConn()
-	}
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := beneath(c)
 	if !ok {
 		return Idle
 	}
@@ -51,3 +50,35 @@
 	}
 	return state
 }
+
+// Unread returns the number of bytes that a connection has received and that were not read.
+// It is 0 if that cannot be known.
+func Unread(c net.Conn) int64 {
+	tcp, ok := beneath(c)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.TIOCINQ); ioctlErr == nil {
+			unread = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return int64(unread)
+}
+
+// beneath returns the TCP connection beneath c.
+func beneath(c net.Conn) (*net.TCPConn, bool) {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
+	tcp, ok := c.(*net.TCPConn)
+	return tcp, ok
+}
