A reset during an upload is no end of the response

What callers saw: a target answered a long upload at once, with a 200 that had no length, sent a part of the body and reset the connection.

Cause: while an upload is written, one goroutine writes to the connection and another one reads from it. The kernel tells of a reset once. When it tells the one that writes, the one that reads sees the ordinary end of the connection, which is the end of a body without a length.

Change: a body that ends with its connection counts as complete only if the whole request was written without an error. If the request is still being written, its end is waited for, at most 100 ms. Then no reset can have been told to anybody but the reader. A body that ends so after its upload is still complete: TestEndOfTheConnectionAfterAnUploadEndsTheBody.

--- a/gage/transport/hop/hop.go
+++ b/gage/transport/hop/hop.go
@@ -191,49 +191,76 @@
 // response. If the body ends early, it closes the connection, so that the server does
 // not wait for the rest.
 func (c *Client) exchange(conn *conn, address string, r *Request, body *bodyReader, detachContext func() bool) (*Response, error) {
-	written := make(chan error, 1)
+	sending := &sending{done: make(chan struct{})}
 	if r.Body != nil && (r.Length < 0 || r.Length > concurrentWriteBytes) {
 		go func() {
-			err := write(conn, r, body)
+			sending.end(write(conn, r, body))
 			if body.failure() != nil {
 				_ = conn.Close()
 			}
-			written <- err
 		}()
 	} else {
-		if err := write(conn, r, body); err != nil {
+		err := write(conn, r, body)
+		sending.end(err)
+		if err != nil {
 			// The server may have responded before it closed the connection.
 			if response, readErr := c.readHead(conn, r); readErr == nil { //nolint:bodyclose // closed with the Response
-				return c.newResponse(conn, address, response, detachContext, func() bool { return false }), nil
+				return c.newResponse(conn, address, response, detachContext, sending), nil
 			}
 			return nil, err
 		}
-		written <- nil
 	}
 	response, err := c.readHead(conn, r) //nolint:bodyclose // closed with the Response
 	if err != nil {
 		return nil, err
 	}
-	fullyWritten := func() bool {
-		select {
-		case err := <-written:
-			return err == nil
-		default:
-			return false
-		}
+	return c.newResponse(conn, address, response, detachContext, sending), nil
+}
+
+// sending is the state of a request that is being written.
+type sending struct {
+	// done is closed when writing has ended. err is set before.
+	done chan struct{}
+	err  error
+}
+
+func (s *sending) end(err error) {
+	s.err = err
+	close(s.done)
+}
+
+// isComplete reports whether the whole request has been written.
+func (s *sending) isComplete() bool {
+	select {
+	case <-s.done:
+		return s.err == nil
+	default:
+		return false
+	}
+}
+
+// completesWithin waits for the end of writing and reports whether the whole request was
+// written.
+func (s *sending) completesWithin(wait time.Duration) bool {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case <-s.done:
+	case <-timeout.C:
 	}
-	return c.newResponse(conn, address, response, detachContext, fullyWritten), nil
+	return s.isComplete()
 }
 
-func (c *Client) newResponse(conn *conn, address string, response *http.Response, detachContext, requestWritten func() bool) *Response {
+func (c *Client) newResponse(conn *conn, address string, response *http.Response, detachContext func() bool, sending *sending) *Response {
 	body := &responseBody{
-		ReadCloser:     response.Body,
-		client:         c,
-		conn:           conn,
-		address:        address,
-		detachContext:  detachContext,
-		requestWritten: requestWritten,
-		idleLifetime:   idleLifetime(response, c.options.IdleTimeout),
+		ReadCloser:    response.Body,
+		client:        c,
+		conn:          conn,
+		address:       address,
+		detachContext: detachContext,
+		sending:       sending,
+		endsWithConn:  response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		idleLifetime:  idleLifetime(response, c.options.IdleTimeout),
 	}
 	result := &Response{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength, Reused: conn.reused}
 	if result.Length == 0 {
--- a/gage/transport/hop/pool.go
+++ b/gage/transport/hop/pool.go
@@ -143,14 +143,25 @@
 	address string
 	// detachContext makes the end of the request's context no longer close the
 	// connection. It returns false if the context has already ended.
-	detachContext  func() bool
-	requestWritten func() bool
-	idleLifetime   time.Duration
-	finished       bool
+	detachContext func() bool
+	sending       *sending
+	// endsWithConn is true if the body has no length and ends with its connection.
+	endsWithConn bool
+	idleLifetime time.Duration
+	finished     bool
 	// isTruncated is true if the body was closed before its end.
 	isTruncated bool
 }
 
+// writeEndTimeout is how long a body that ended with its connection waits for the end of the
+// request, which was written by another goroutine.
+const writeEndTimeout = 100 * time.Millisecond
+
+// errNotSent is returned at the end of a connection while its request was being written. The
+// kernel tells of a reset only once. If it has told the goroutine that writes, the one that
+// reads sees an ordinary end.
+var errNotSent = errors.New("the connection ended before the whole request was sent, so the response may be truncated")
+
 // errBodyClosed is returned by reads of a body that was closed before its end.
 var errBodyClosed = errors.New("the body of the response was closed before its end")
 
@@ -164,6 +175,9 @@
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.endsWithConn && !b.sending.completesWithin(writeEndTimeout) {
+		err = errNotSent
+	}
 	if err != nil {
 		b.release(errors.Is(err, io.EOF))
 	}
@@ -183,7 +197,7 @@
 		return
 	}
 	b.finished, b.isTruncated = true, !isComplete
-	if !b.detachContext() || !isComplete || b.idleLifetime <= 0 || !b.requestWritten() || b.conn.reader.Buffered() > 0 {
+	if !b.detachContext() || !isComplete || b.idleLifetime <= 0 || !b.sending.isComplete() || b.conn.reader.Buffered() > 0 {
 		_ = b.conn.Close()
 		return
 	}
