A status outside HTTP is no answer

What callers saw: a target in trouble sent an answer with the status 000. The node skipped it like an interim one and read what its body held as the next answer; a body that looks like a 200 was delivered (MIXED).

Cause: net/http reads any three digits, also +20, and whatever was below 200 counted as interim. 101 did too, though no request asks for another protocol.

Change: a final response has a status from 200 to 599 (header.CheckStatus), an interim one from 100 to 199 without 101. All others fail the request, with an unknown outcome.

--- a/gage/transport/hop/hop.go
+++ b/gage/transport/hop/hop.go
@@ -18,6 +18,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/greengagewind/greengagewind/gage/protocol/header"
 )
 
 const (
@@ -280,20 +282,14 @@
 // readHead reads the status and header of the response to r. It skips interim
 // responses (1xx) and responses to earlier requests.
 func (c *Client) readHead(conn *conn, r *Request) (*http.Response, error) {
-	request := &http.Request{Method: r.Method}
 	// A faulty server may send a header, or a stale response, without end.
 	defer conn.received.unlimit()
 	for range maxResponsesRead {
-		conn.received.limit(maxHeadBytes+c.options.AddedHeadBytes, maxHeadLines+c.options.AddedHeadLines)
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := c.readOneHead(conn, r)
 		if err != nil {
-			if conn.received.isExhausted() {
-				err = errHeadTooLong
-			}
 			return nil, err
 		}
-		conn.received.lines = math.MaxInt
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response.StatusCode) {
 			continue
 		}
 		if c.options.IDHeader == "" || response.Header.Get(c.options.IDHeader) == r.Header.Get(c.options.IDHeader) {
@@ -309,6 +305,30 @@
 	return nil, errOnlyStaleResponses
 }
 
+// readOneHead reads the status and header of the next response on a connection, final or
+// interim.
+func (c *Client) readOneHead(conn *conn, r *Request) (*http.Response, error) {
+	conn.received.limit(maxHeadBytes+c.options.AddedHeadBytes, maxHeadLines+c.options.AddedHeadLines)
+	response, err := http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		if conn.received.isExhausted() {
+			err = errHeadTooLong
+		}
+		return nil, err
+	}
+	conn.received.lines = math.MaxInt
+	if isInterim(response.StatusCode) {
+		return response, nil
+	}
+	return response, header.CheckStatus(response.StatusCode)
+}
+
+// isInterim reports whether a final response follows one with the status. No request asks
+// for another protocol, so 101 is no answer to any.
+func isInterim(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+}
+
 // idleLifetime returns how long a connection may stay idle after a response, at
 // most limit.
 func idleLifetime(response *http.Response, limit time.Duration) time.Duration {
