A header name with a blank or a control byte fails the response

What callers saw: a target in trouble sent a header whose name held a blank. The caller got it as an answer, with that line passed on.

Cause: net/http accepts names with blanks in responses on purpose, and takes such a length or coding for an unknown header. A line that begins with a blank is added to the value before. Control bytes it refuses already.

Change: names must be tokens (header.CheckNames), those of interim responses and trailers too. The reader of headers looks for lines that begin with a blank, through interim responses and after responses to other requests.

--- a/gage/protocol/header/response.go
+++ b/gage/protocol/header/response.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 )
 
 // CheckStatus returns an error if a status is none of a final response. HTTP knows those
@@ -12,3 +14,28 @@
 	}
 	return nil
 }
+
+// CheckNames returns an error if the name of a header is no token. net/http accepts blanks
+// in the headers of responses, and takes a Content-Length or Transfer-Encoding with a blank
+// before its colon for another header, so that the body has another end.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return fmt.Errorf("a response has the header name %.64q, which is not allowed", name)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a name is a token as RFC 9110 defines it.
+func isToken(name string) bool {
+	const signs = "!#$%&'*+-.^_`|~"
+	for i := range len(name) {
+		c := name[i]
+		isLetter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if isDigit := '0' <= c && c <= '9'; !isLetter && !isDigit && !strings.ContainsRune(signs, rune(c)) {
+			return false
+		}
+	}
+	return name != ""
+}
--- a/gage/transport/hop/head.go
+++ b/gage/transport/hop/head.go
@@ -12,6 +12,7 @@
 	reader io.Reader
 	// bytes and lines are how many may still be read.
 	bytes, lines int
+	folds        foldFinder
 }
 
 func (h *headReader) limit(bytes, lines int) { h.bytes, h.lines = bytes, lines }
@@ -27,6 +28,7 @@
 		return 0, io.EOF
 	}
 	n, err := h.reader.Read(p[:min(len(p), h.bytes)])
+	h.folds.look(p[:n])
 	if h.bytes != math.MaxInt {
 		h.bytes -= n
 	}
--- a/gage/transport/hop/hop.go
+++ b/gage/transport/hop/hop.go
@@ -261,6 +261,7 @@
 		address:       address,
 		detachContext: detachContext,
 		sending:       sending,
+		response:      response,
 		endsWithConn:  response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		idleLifetime:  idleLifetime(response, c.options.IdleTimeout),
 	}
@@ -279,11 +280,15 @@
 // maxHeadLines.
 var errHeadTooLong = errors.New("the header of the response is too long")
 
+// errFolded is returned if a line of a header begins with a blank.
+var errFolded = errors.New("a line in the header of the response begins with a blank")
+
 // readHead reads the status and header of the response to r. It skips interim
 // responses (1xx) and responses to earlier requests.
 func (c *Client) readHead(conn *conn, r *Request) (*http.Response, error) {
 	// A faulty server may send a header, or a stale response, without end.
 	defer conn.received.unlimit()
+	conn.received.folds.start()
 	for range maxResponsesRead {
 		response, err := c.readOneHead(conn, r)
 		if err != nil {
@@ -301,6 +306,10 @@
 		if response.Close {
 			return nil, errOnlyStaleResponses
 		}
+		conn.received.folds.start()
+		if buffered, err := conn.reader.Peek(conn.reader.Buffered()); err == nil {
+			conn.received.folds.look(buffered)
+		}
 	}
 	return nil, errOnlyStaleResponses
 }
@@ -317,6 +326,12 @@
 		return nil, err
 	}
 	conn.received.lines = math.MaxInt
+	if conn.received.folds.found {
+		return nil, errFolded
+	}
+	if err := header.CheckNames(response.Header); err != nil {
+		return nil, err
+	}
 	if isInterim(response.StatusCode) {
 		return response, nil
 	}
--- a/gage/transport/hop/pool.go
+++ b/gage/transport/hop/pool.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
+	"github.com/greengagewind/greengagewind/gage/protocol/header"
 	"github.com/greengagewind/greengagewind/gage/transport/guard"
 	"github.com/greengagewind/greengagewind/gage/transport/peek"
 )
@@ -145,6 +147,7 @@
 	// connection. It returns false if the context has already ended.
 	detachContext func() bool
 	sending       *sending
+	response      *http.Response
 	// endsWithConn is true if the body has no length and ends with its connection.
 	endsWithConn bool
 	idleLifetime time.Duration
@@ -178,6 +181,11 @@
 	if errors.Is(err, io.EOF) && b.endsWithConn && !b.sending.completesWithin(writeEndTimeout) {
 		err = errNotSent
 	}
+	if errors.Is(err, io.EOF) {
+		if trailerErr := header.CheckNames(b.response.Trailer); trailerErr != nil {
+			err = trailerErr
+		}
+	}
 	if err != nil {
 		b.release(errors.Is(err, io.EOF))
 	}
