relay: an answer outside HTTP has an unknown outcome

What callers of the own interface would see: an answer with the status 000 or 099 counted as run, and the node ended the caller's connection when it wrote it; one with a blank in a header name was passed on, and a refusal in such an answer counted as one, so that a request which may have run was sent again.

Cause: as in hop. relay uses net/http's own client, which is as lenient.

Change: the checks of hop. Answers without a length or chunks were refused before, so a reset cannot pass for an end here.

--- a/gage/transport/relay/relay.go
+++ b/gage/transport/relay/relay.go
@@ -92,6 +92,9 @@
 		return tracker.failure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := errors.Join(header.CheckStatus(response.StatusCode), header.CheckNames(response.Header)); err != nil {
+		return unknownOutcome(gage.ReasonTargetFailed, "The target's answer is not HTTP.")
+	}
 	if detail := foreignAnswer(response, c, tracker.isReused()); detail != "" {
 		return unknownOutcome(gage.ReasonTargetFailed, detail)
 	}
