An odd or empty response of the store is an error

What could happen: a response of the store with no body, as a connection that is reset at once leaves it, read as an empty store at revision 0. One with a blank in a header name was read, and "Store-Era : 7" as a store without an era.

Cause: an empty body skipped decoding, whatever was asked; net/http is lenient with names.

--- a/stand/plat/store_test.go
+++ b/stand/plat/store_test.go
@@ -1,10 +1,12 @@
 package plat_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -53,6 +55,59 @@
 	assert.Assert(t, c.Put(ctx, "op/config", nil) != nil, "only operators may write below op/")
 }
 
+// A response outside HTTP, or an empty one that should hold something, is an error. In
+// particular, it does not read as an empty store.
+func TestOddResponsesOfTheStoreAreErrors(t *testing.T) {
+	cases := map[string]string{
+		"status 000":           "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+		"blank in a name":      "HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\n{}",
+		"blank after the era":  "HTTP/1.1 200 OK\r\nStore-Era : 7\r\nContent-Length: 2\r\n\r\n{}",
+		"blank after a coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n{}",
+		"no body":              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"cut off at the start": "HTTP/1.1 200 OK\r\n\r\n",
+		"header without end":   "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Long: 0123456789\r\n", 8<<10) + "Content-Length: 2\r\n\r\n{}",
+	}
+	for name, response := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := kvapi.New(serveRaw(t, response), zap.NewNop())
+			ctx := context.Background()
+			_, _, err := c.List(ctx, "op/")
+			assert.Assert(t, err != nil, "List")
+			_, _, err = c.Poll(ctx, "op/", 1, time.Millisecond)
+			assert.Assert(t, err != nil, "Poll")
+			_, _, err = c.Swap(ctx, "gage/x", 1, nil, 0)
+			assert.Assert(t, err != nil, "Swap")
+			_, err = c.Grant(ctx, time.Second)
+			assert.Assert(t, err != nil, "Grant")
+		})
+	}
+}
+
+// serveRaw starts a server that answers the first request of each connection with a text and
+// closes the connection. It returns its address.
+func serveRaw(t *testing.T, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, response)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 func TestClientReadsAllPages(t *testing.T) {
 	ctx := context.Background()
 	s, c := newStore(t)
