etcd, ggw: a header name with a blank fails the call

The last two readers of answers: the store adapter of the own interface and the operators' command line. Both ask for status 200 and decode JSON, so a body that is cut off is an error already; a length with a blank before its colon was not.

Evidence: TestOddResponsesAreNoAnswer and TestHeaderNameWithABlankIsAnError.

--- a/gage/transport/etcd/client.go
+++ b/gage/transport/etcd/client.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"github.com/greengagewind/greengagewind/gage/protocol/header"
 	"github.com/greengagewind/greengagewind/gage/protocol/kvmsg"
 )
 
@@ -27,6 +28,7 @@
 	connectTimeout   = time.Second
 	maxResponseBytes = 64 << 20
 	maxErrorBytes    = 4 << 10
+	maxHeaderBytes   = 64 << 10
 	maxIdlePerHost   = 4
 	idleConnTimeout  = time.Minute
 )
@@ -57,9 +59,10 @@
 	// their duration.
 	breaker.NoBreakerFor(serviceName)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	trimmedEndpoints := make([]string, len(endpoints))
 	for i, endpoint := range endpoints {
@@ -110,6 +113,10 @@
 		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := header.CheckNames(response.Header); err != nil {
+		c.endpointIndex.Add(1)
+		return fmt.Errorf("%w: %s: %w", ErrNoAnswer, path, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		c.endpointIndex.Add(1)
 		return refusedError(path, response)
--- a/ggw/fleet/client.go
+++ b/ggw/fleet/client.go
@@ -16,6 +16,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/greengagewind/greengagewind/gage/coordination/apply"
+	"github.com/greengagewind/greengagewind/gage/protocol/header"
 	"github.com/greengagewind/greengagewind/gage/protocol/oper"
 )
 
@@ -90,6 +91,9 @@
 		return fmt.Errorf("call node %s: %w", node, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := header.CheckNames(response.Header); err != nil {
+		return fmt.Errorf("call node %s: %w", node, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("call node %s: unexpected status %s for %s %s", node, response.Status, method, path)
 	}
--- a/ggw/fleet/client_test.go
+++ b/ggw/fleet/client_test.go
@@ -41,3 +41,16 @@
 	_, err = client.Explain(ctx, address, "vm-1.other")
 	assert.ErrorContains(t, err, "unexpected status 404 Not Found for GET /v1/explain/vm-1.other")
 }
+
+func TestHeaderNameWithABlankIsAnError(t *testing.T) {
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length : 40\r\n\r\n{\"VM\":\"vm-1\"}"))
+			_ = c.Close()
+		}
+	}))
+	defer node.Close()
+	_, err := fleet.New().Status(context.Background(), node.URL)
+	assert.ErrorContains(t, err, "Content-Length ")
+}
--- a/stand/store/store_test.go
+++ b/stand/store/store_test.go
@@ -289,3 +289,19 @@
 	cancel()
 	assert.NilError(t, <-ended)
 }
+
+// A response outside HTTP may have been a part of another one.
+func TestOddResponsesAreNoAnswer(t *testing.T) {
+	for _, line := range []string{"Content-Length : 90", "X Odd: a"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n{\"header\":{\"revision\":\"7\"}}"))
+				_ = c.Close()
+			}
+		}))
+		_, _, err := etcd.New([]string{server.URL}).List(context.Background(), "gage/")
+		assert.ErrorIs(t, err, etcd.ErrNoAnswer, line)
+		server.Close()
+	}
+}
