Connections that are being closed still count

Cause: a connection that was closed for another one left the table at once, while its handler, its buffers and its part of the body went some time later. Clients that return at once pile these up.

Change: at most a tenth of the connections, 4 at least, may be closing with a request. Beyond that none is closed for another: new connections wait, and new requests get 503, until the server has ended some. Connections without a request hold little and do not count.

--- a/gage/state/evict/evict.go
+++ b/gage/state/evict/evict.go
@@ -25,6 +25,11 @@
 	// requestByteShare is the share of the memory that requests in hand may take. The rest
 	// is for connections and headers, so that neither crowds out the other.
 	requestByteShare = 0.5
+	// closingShare is the share of the connections that may be closing with a request at a
+	// time, at least minClosing of them. More are not evicted: those whose clients return at
+	// once would otherwise pile up faster than the server ends them.
+	closingShare = 0.1
+	minClosing   = 4
 )
 
 // Limits bound the connections of one server together.
@@ -53,6 +58,8 @@
 	inHand bool
 	// request counts the requests of the connection.
 	request int
+	// isClosing is true once the connection was evicted with a request, until End.
+	isClosing bool
 	// index is the position in Table.conns, -1 once the connection is closed.
 	index int
 }
@@ -64,10 +71,14 @@
 	bytes int64
 	// inHand is the number of connections with a request in hand.
 	inHand int
-	// maxConns, maxBytes and maxInHand bound the above.
-	maxConns  int
-	maxBytes  int64
-	maxInHand int
+	// closing is the number of evicted connections with requests that the server has not
+	// ended yet.
+	closing int
+	// maxConns, maxBytes, maxInHand and maxClosing bound the above.
+	maxConns   int
+	maxBytes   int64
+	maxInHand  int
+	maxClosing int
 }
 
 // New returns a table without connections.
@@ -75,7 +86,8 @@
 	requestBytes := int64(requestByteShare * float64(limits.Bytes))
 	return &Table{
 		maxConns: limits.Conns, maxBytes: limits.Bytes - requestBytes,
-		maxInHand: max(1, min(int(requestConnShare*float64(limits.Conns)), int(requestBytes/RequestBytes))),
+		maxInHand:  max(1, min(int(requestConnShare*float64(limits.Conns)), int(requestBytes/RequestBytes))),
+		maxClosing: max(minClosing, int(closingShare*float64(limits.Conns))),
 	}
 }
 
@@ -86,18 +98,18 @@
 func (t *Table) Bytes() int64 { return t.bytes + int64(t.inHand)*RequestBytes }
 
 // Open adds a connection, which waits for its first request. The caller must close the
-// connections returned as evicted, which are no longer in the table. If ok is false, there
-// is no room, since the server is working for all others, and the connection is not added.
+// connections returned as evicted, which are no longer in the table, and call End for each
+// once the server has ended it. If ok is false, there is no room, since the server is working
+// for all others or still ends evicted ones, and the connection is not added.
 func (t *Table) Open(now time.Time, value any) (c *Conn, evicted []*Conn, ok bool) {
 	for len(t.conns) >= t.maxConns || t.bytes+ConnBytes > t.maxBytes {
 		victim := t.slowest(anyConn)
 		if len(t.conns) < t.maxConns {
 			victim = t.slowest(t.isLarge)
 		}
-		if victim == nil {
+		if !t.evict(victim) {
 			return nil, evicted, false
 		}
-		t.Close(victim)
 		evicted = append(evicted, victim)
 	}
 	c = &Conn{Value: value, waits: 1, since: now, bytes: ConnBytes, index: len(t.conns)}
@@ -120,6 +132,32 @@
 	c.index, c.bytes = -1, 0
 }
 
+// evict removes a connection that the caller will close. It returns false if victim is nil,
+// or has begun a request and too many such are closing already.
+func (t *Table) evict(victim *Conn) bool {
+	if victim == nil {
+		return false
+	}
+	if victim.inHand || victim.bytes > ConnBytes {
+		if t.closing >= t.maxClosing {
+			return false
+		}
+		victim.isClosing = true
+		t.closing++
+	}
+	t.Close(victim)
+	return true
+}
+
+// End tells that the server has ended a connection, evicted or not.
+func (t *Table) End(c *Conn) {
+	t.Close(c)
+	if c.isClosing {
+		c.isClosing = false
+		t.closing--
+	}
+}
+
 // release ends the request in hand, if there is one.
 func (t *Table) release(c *Conn) {
 	if c.inHand {
@@ -166,10 +204,9 @@
 	}
 	for t.bytes+n > t.maxBytes {
 		victim := t.slowest(t.isLarge)
-		if victim == nil || victim == c {
+		if victim == c || !t.evict(victim) {
 			return evicted, false
 		}
-		t.Close(victim)
 		evicted = append(evicted, victim)
 	}
 	c.bytes += n
@@ -185,10 +222,9 @@
 	}
 	if t.inHand >= t.maxInHand {
 		victim := t.slowest(hasRequest)
-		if victim == nil {
+		if !t.evict(victim) {
 			return nil, false
 		}
-		t.Close(victim)
 		evicted = append(evicted, victim)
 	}
 	c.inHand = true
@@ -202,7 +238,7 @@
 // Shed removes connections with a request in hand until what the others have received and
 // the server has not read is at most limit, and returns them: those that wait for their
 // clients, the slowest first, then those with most unread bytes. unread returns the unread
-// bytes of a connection.
+// bytes of a connection. They do not count as closing: the server may work for them still.
 func (t *Table) Shed(limit int64, unread func(c *Conn) int64) []*Conn {
 	type holder struct {
 		conn   *Conn
--- a/gage/state/evict/evict_test.go
+++ b/gage/state/evict/evict_test.go
@@ -155,6 +155,31 @@
 	assert.Equal(t, table.Len(), 2)
 }
 
+// Connections that were evicted make room once the server has ended them: their clients may
+// return faster than that.
+func TestEvictedConnectionsMakeRoomWhenTheyHaveEnded(t *testing.T) {
+	const maxClosing = 4
+	table := evict.New(evict.Limits{Conns: 10, Bytes: 1 << 30})
+	for range 10 {
+		_, ok := table.Grow(open(t, table, at(0), "first"), 1)
+		assert.Assert(t, ok)
+	}
+	var closing []*evict.Conn
+	for range maxClosing {
+		c, evicted, ok := table.Open(at(time.Second), "later")
+		assert.Assert(t, ok)
+		_, ok = table.Grow(c, 1)
+		assert.Assert(t, ok)
+		closing = append(closing, evicted...)
+	}
+	_, evicted, ok := table.Open(at(time.Second), "too early")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(evicted), 0)
+	table.End(closing[0])
+	_, _, ok = table.Open(at(time.Second), "in time")
+	assert.Assert(t, ok)
+}
+
 // Connections without a request take no room from requests.
 func TestIdleConnectionsLeaveRoomForRequests(t *testing.T) {
 	table := evict.New(evict.Limits{Conns: 1000, Bytes: 20 * evict.ConnBytes})
@@ -187,6 +212,7 @@
 		table := evict.New(limits)
 		now := start
 		var model []*modelConn
+		var closing []*evict.Conn
 		remove := func(c *evict.Conn) {
 			for i, m := range model {
 				if m.conn == c {
@@ -222,6 +248,9 @@
 						t.Fatalf("%v was closed before a slower one", c.Value)
 					}
 				}
+				if victim.inHand || victim.bytes > evict.ConnBytes {
+					closing = append(closing, c)
+				}
 				remove(c)
 			}
 		}
@@ -285,7 +314,20 @@
 				table.Close(m.conn)
 				remove(m.conn)
 			},
+			"end": func(t *rapid.T) {
+				if len(closing) == 0 {
+					t.Skip("none is closing")
+				}
+				i := rapid.IntRange(0, len(closing)-1).Draw(t, "closing")
+				table.End(closing[i])
+				table.End(closing[i])
+				closing = append(closing[:i:i], closing[i+1:]...)
+			},
 			"": func(t *rapid.T) {
+				const maxClosing = 4
+				if len(closing) > maxClosing {
+					t.Fatalf("%d connections are closing", len(closing))
+				}
 				var bytes int64
 				for _, m := range model {
 					bytes += m.bytes
--- a/gage/transport/guard/guard.go
+++ b/gage/transport/guard/guard.go
@@ -238,7 +238,7 @@
 		}
 		d.signalRoom()
 	case http.StateClosed, http.StateHijacked:
-		d.table.Close(c.entry)
+		d.table.End(c.entry)
 		d.signalRoom()
 	case http.StateNew:
 	}
