The own interface bounds connections and headers too

Requests in hand and their bodies had a bound, connections, headers and unread bytes had none.

Change: each HTTP server has a door. go-zero would listen by itself, so serve serves on a listener of its own in the hook that go-zero calls before, which also makes the probe of the address needless. New settings: MemoryMB (256) and FileDescriptors (the limit of the operating system), and the soft memory limit of the runtime follows MemoryMB.

The unknown-field test of the settings names the two new keys.

--- a/gage/transport/edge/limit.go
+++ b/gage/transport/edge/limit.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/greengagewind/greengagewind/gage"
+	"github.com/greengagewind/greengagewind/gage/coordination/entry"
 )
 
 // The limits of the requests in progress at one HTTP server of a node.
@@ -43,6 +44,15 @@
 	return release
 }
 
+// Refusal returns the handler for requests that the node has no room for. newID returns the
+// ID of a request.
+func Refusal(newID func() string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		writeAnswer(w, entry.Answer{RequestID: newID(), Result: inFlightLimitReached()})
+	})
+}
+
 func inFlightLimitReached() gage.Result {
 	return gage.Refused(gage.ReasonOverload, "This node has reached its limit of requests in progress; try another node.")
 }
--- a/gage/transport/serve/server.go
+++ b/gage/transport/serve/server.go
@@ -11,31 +11,37 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/chain"
 	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"github.com/greengagewind/greengagewind/gage/transport/guard"
 )
 
 // The limits of a connection.
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	// MaxHeaderBytes is the longest header of a request. The door refuses longer ones.
+	MaxHeaderBytes = 64 << 10
 )
 
 // Server is a go-zero rest server without the middleware of go-zero. The node itself
 // implements concurrency limits, load shedding, timeouts and retries.
 type Server struct {
-	rest    *rest.Server
-	address string
+	rest     *rest.Server
+	address  string
+	door     *guard.Door
+	listener net.Listener
 	// httpServer receives the HTTP server of rest just before it listens.
 	httpServer chan *http.Server
 	router     *catchAllRouter
 }
 
-// New returns a server that passes every request on address, an IP:port, to handler.
-// The errors of New contain name.
-func New(name, address string, handler http.Handler) (*Server, error) {
+// New returns a server that passes every request on address, an IP:port, to handler. door
+// bounds its connections. The errors of New contain name.
+func New(name, address string, handler http.Handler, door *guard.Door) (*Server, error) {
 	host, portText, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, fmt.Errorf("address %q of the %s server: %w", address, name, err)
@@ -58,6 +64,7 @@
 	return &Server{
 		rest:       server,
 		address:    address,
+		door:       door,
 		httpServer: make(chan *http.Server, 1),
 		router:     catchAll,
 	}, nil
@@ -68,27 +75,28 @@
 // servers in order and waits for the requests in flight.
 const shutdownDelay = 1000 * time.Hour
 
-// Start starts to serve requests and returns. It first checks that it can listen on
-// the address, since go-zero ends the process if that fails.
+// Start starts to serve requests and returns.
 func (s *Server) Start() error {
-	probe, err := net.Listen("tcp", s.address)
+	listener, err := guard.Listen(s.address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.address, err)
 	}
-	if err := probe.Close(); err != nil {
-		return fmt.Errorf("listen on %s: %w", s.address, err)
-	}
-	go s.rest.StartWithOpts(s.configure)
+	s.listener = listener
+	go s.rest.StartWithOpts(s.serve)
 	return nil
 }
 
-// configure sets the limits of a connection. go-zero calls it before the server
-// listens.
-func (s *Server) configure(server *http.Server) {
+// serve serves until Stop. go-zero calls it before it listens, which would be without the
+// door, and finds the server stopped when it returns.
+func (s *Server) serve(server *http.Server) {
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
-	server.MaxHeaderBytes = maxHeaderBytes
+	server.MaxHeaderBytes = MaxHeaderBytes
 	s.httpServer <- server
+	if err := s.door.Serve(server, s.listener); !errors.Is(err, http.ErrServerClosed) {
+		// Without its listener the server is of no use, and go-zero would end the process too.
+		logx.Must(err)
+	}
 }
 
 // Drain makes each further response close its connection, so that clients connect to
--- a/node/run/run.go
+++ b/node/run/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -15,6 +16,11 @@
 	"github.com/greengagewind/greengagewind/node/setup"
 )
 
+// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the memory
+// that the process may use. The rest is for what the runtime does not count, among it what
+// connections have received and the node has not read.
+const memoryLimitFraction = 0.7
+
 // Name is the name of the command on the command line.
 const Name = "run"
 
@@ -45,6 +51,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB<<20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	node, err := build(settings, logger)
--- a/node/run/servers.go
+++ b/node/run/servers.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
+	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +15,7 @@
 
 	"github.com/greengagewind/greengagewind/gage"
 	"github.com/greengagewind/greengagewind/gage/transport/edge"
+	"github.com/greengagewind/greengagewind/gage/transport/guard"
 	"github.com/greengagewind/greengagewind/gage/transport/oper"
 	"github.com/greengagewind/greengagewind/gage/transport/peer"
 	"github.com/greengagewind/greengagewind/gage/transport/serve"
@@ -27,19 +31,47 @@
 	minPeerPingInterval = 5 * time.Second
 )
 
+// The shares of the process's memory and sockets that the connections of each server may
+// take. Each connection may need one more socket, to another node or to a target.
+var (
+	callersShare   = guard.Share{Memory: 0.25, Sockets: 0.2}
+	targetsShare   = guard.Share{Memory: 0.15, Sockets: 0.1}
+	operatorsShare = guard.Share{Memory: 0.02, Sockets: 0.02}
+)
+
+func (n *node) guardOptions() guard.Options {
+	descriptors := n.settings.FileDescriptors
+	var limit syscall.Rlimit
+	if descriptors == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		descriptors = int(min(limit.Cur, math.MaxInt32))
+	}
+	return guard.Options{
+		MemoryBytes: int64(n.settings.MemoryMB) << 20, Descriptors: descriptors,
+		MaxHeaderBytes: func() int { return serve.MaxHeaderBytes },
+		Clock:          n.clock, Logger: n.logger, Metrics: n.metrics,
+	}
+}
+
 // buildServers creates the servers of the node without opening their listeners.
 func (n *node) buildServers() error {
 	newID := newIDGenerator(n.self.VM)
+	door := func(name string, share guard.Share, refusal http.Handler) *guard.Door {
+		return guard.New(name, share, refusal, n.guardOptions())
+	}
+	refusal := edge.Refusal(newID)
 	var err error
-	if n.callerServer, err = serve.New("callers", n.settings.CallerAddress, edge.Callers(n.entry, newID)); err != nil {
+	callerDoor := door("callers", callersShare, refusal)
+	if n.callerServer, err = serve.New("callers", n.settings.CallerAddress, edge.Callers(n.entry, newID), callerDoor); err != nil {
 		return err
 	}
 	targetHandler := edge.Targets(n.entry, n.targets, n.clock, newID)
-	if n.targetServer, err = serve.New("targets", n.settings.TargetAddress, targetHandler); err != nil {
+	targetDoor := door("targets", targetsShare, refusal)
+	if n.targetServer, err = serve.New("targets", n.settings.TargetAddress, targetHandler, targetDoor); err != nil {
 		return err
 	}
 	operatorHandler := oper.Handler(n, n.metrics, n.recent)
-	if n.operatorServer, err = serve.New("operators", n.settings.OperatorAddress, operatorHandler); err != nil {
+	operatorDoor := door("operators", operatorsShare, refusal)
+	if n.operatorServer, err = serve.New("operators", n.settings.OperatorAddress, operatorHandler, operatorDoor); err != nil {
 		return err
 	}
 	n.peerServer = grpc.NewServer(
--- a/node/setup/load.go
+++ b/node/setup/load.go
@@ -20,6 +20,12 @@
 	minStopTimeout  = 10 * time.Second
 	maxStopTimeout  = 10 * time.Minute
 	defaultLogLevel = "info"
+	defaultMemoryMB = 256
+	minMemoryMB     = 64
+	maxMemoryMB     = 1 << 20
+	// minFileDescriptors leave sockets beside those that are for files.
+	minFileDescriptors = 400
+	maxFileDescriptors = 1 << 24
 )
 
 // document is the decoded settings file before its values are checked.
@@ -36,6 +42,8 @@
 	Policy          any
 	LogLevel        any
 	Trace           trace
+	MemoryMB        any
+	FileDescriptors any
 	StopTimeout     any
 }
 
@@ -93,6 +101,8 @@
 		Policy:          gage.Policy(p.OneOf("Policy", d.Policy, string(gage.PolicyAdaptive), policies)),
 		LogLevel:        p.OneOf("LogLevel", d.LogLevel, defaultLogLevel, logLevels),
 		Trace:           p.trace(d.Trace),
+		MemoryMB:        p.wholeNumber("MemoryMB", d.MemoryMB, defaultMemoryMB, minMemoryMB, maxMemoryMB),
+		FileDescriptors: p.wholeNumber("FileDescriptors", d.FileDescriptors, 0, minFileDescriptors, maxFileDescriptors),
 		StopTimeout:     p.Duration("StopTimeout", d.StopTimeout, defaultStopTimeout, minStopTimeout, maxStopTimeout),
 	}
 	p.checkDistinctAddresses(s)
@@ -124,6 +134,17 @@
 	return ""
 }
 
+// wholeNumber returns a whole number from least to most, or missing if value is nil.
+func (p *parser) wholeNumber(key string, value any, missing, least, most int) int {
+	if value == nil {
+		return missing
+	}
+	allowed := func(number float64) bool {
+		return number == math.Trunc(number) && number >= float64(least) && number <= float64(most)
+	}
+	return int(p.Number(key, value, allowed, fmt.Sprintf("must be a whole number from %d to %d", least, most)))
+}
+
 func isFraction(number float64) bool {
 	return number >= 0 && number <= 1 && !math.IsNaN(number)
 }
--- a/node/setup/load_test.go
+++ b/node/setup/load_test.go
@@ -35,7 +35,7 @@
 		CallerAddress: "0.0.0.0:7001", TargetAddress: "127.0.0.1:7002",
 		PeerAddress: "10.0.0.7:7003", OperatorAddress: "10.0.0.7:7004",
 		StoreEndpoints: []string{"http://10.0.0.2:2379"}, Seeds: []string{"10.0.0.8:7003"},
-		Policy: gage.PolicyAdaptive, LogLevel: "info", StopTimeout: 30 * time.Second,
+		Policy: gage.PolicyAdaptive, LogLevel: "info", MemoryMB: 256, StopTimeout: 30 * time.Second,
 		Trace: setup.Trace{Exporter: setup.ExporterFile, File: `/tmp/\spans`, Sample: 0.5},
 	})
 	reparsed, problems := setup.Parse("f", setup.Render(s))
@@ -43,6 +43,17 @@
 	assert.DeepEqual(t, reparsed, s)
 }
 
+func TestLimitsOfTheProcess(t *testing.T) {
+	text := strings.Replace(validSettings, "[Trace]", "MemoryMB = 512\nFileDescriptors = 4096\n[Trace]", 1)
+	s, problems := setup.Parse("f", []byte(text))
+	assert.Equal(t, problems.String(), "")
+	assert.Equal(t, s.MemoryMB, 512)
+	assert.Equal(t, s.FileDescriptors, 4096)
+	reparsed, problems := setup.Parse("f", setup.Render(s))
+	assert.Equal(t, problems.String(), "")
+	assert.DeepEqual(t, reparsed, s)
+}
+
 func TestParseRefusesInvalidSettings(t *testing.T) {
 	tests := []struct{ name, old, new, want string }{
 		{"dot in VM", `"vm-1"`, `"vm.1"`, `f:1: VM = "vm.1": must be 1 to 64 letters`},
@@ -57,7 +68,9 @@
 		{"unknown policy", `[Trace]`, "Policy = \"Best\"\n[Trace]", `f:11: Policy = "Best": must be one of Adaptive, Fixed, None, QueueDelay`},
 		{"unknown log level", `[Trace]`, "LogLevel = \"loud\"\n[Trace]", `f:11: LogLevel = "loud": must be one of debug, info, warn, error`},
 		{"bare number as duration", `[Trace]`, "StopTimeout = 5\n[Trace]", `f:11: StopTimeout = 5: must be a duration in a string`},
-		{"unknown field", `[Trace]`, "Speed = 5\n[Trace]", `f:11: Speed = 5: unknown field; allowed here: CallerAddress, LogLevel`},
+		{"too little memory", `[Trace]`, "MemoryMB = 63\n[Trace]", `f:11: MemoryMB = 63: must be a whole number from 64 to 1048576`},
+		{"part of a descriptor", `[Trace]`, "FileDescriptors = 1000.5\n[Trace]", `f:11: FileDescriptors = 1000.5: must be a whole number from 400 to 16777216`},
+		{"unknown field", `[Trace]`, "Speed = 5\n[Trace]", `f:11: Speed = 5: unknown field; allowed here: CallerAddress, FileDescriptors, LogLevel, MemoryMB`},
 		{"unknown field of a table", `Sample = 0.5`, "Sample = 0.5\nRatio = 1", `f:15: Trace.Ratio = 1: unknown field; allowed here: Endpoint, Exporter, File, Sample`},
 		{"number in place of a table", "[Trace]", "Trace = 3\n[Other]", `f:11: Trace = 3: must be a table with Endpoint`},
 		{"sample above 1", `Sample = 0.5`, `Sample = 2`, `f:14: Trace.Sample = 2: must be a number from 0 to 1`},
--- a/node/setup/render.go
+++ b/node/setup/render.go
@@ -24,6 +24,10 @@
 	fmt.Fprintf(&b, "Seeds = %s\n", quoteList(s.Seeds))
 	writeString("Policy", string(s.Policy))
 	writeString("LogLevel", s.LogLevel)
+	fmt.Fprintf(&b, "MemoryMB = %d\n", s.MemoryMB)
+	if s.FileDescriptors > 0 {
+		fmt.Fprintf(&b, "FileDescriptors = %d\n", s.FileDescriptors)
+	}
 	writeString("StopTimeout", s.StopTimeout.String())
 	b.WriteString("\n[Trace]\n")
 	writeString("Exporter", string(s.Trace.Exporter))
--- a/node/setup/settings.go
+++ b/node/setup/settings.go
@@ -34,6 +34,12 @@
 	Policy   gage.Policy
 	LogLevel string
 	Trace    Trace
+	// MemoryMB is the memory that the process may use, in MiB. What clients may make it hold
+	// is a share of it.
+	MemoryMB int
+	// FileDescriptors is the number of descriptors that the process may use, 0 for the limit
+	// that the operating system sets.
+	FileDescriptors int
 	// StopTimeout is the maximum time for a graceful stop, including the wait for
 	// requests in flight.
 	StopTimeout time.Duration
--- a/stand/crowd/crowd_test.go
+++ b/stand/crowd/crowd_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/greengagewind/greengagewind/stand/fleet"
 )
 
 const (
@@ -27,34 +30,47 @@
 func checkLimits(t *testing.T, l limits, crowd func(d *deployment) []member) {
 	t.Helper()
 	d := newDeployment(t, l)
-	clients := crowd(d)
+	outcomes, most := besideCrowd(t, d.processes(), crowd(d), func() string { return d.ask(d.vms[0], "/book/1") })
+	t.Logf("ordinary requests beside the crowd: %v", outcomes)
+	checkUsage(t, d.processes(), most, l)
+	d.waitServed()
+}
+
+// besideCrowd runs a crowd for crowdTime and asks ordinary requests beside it. It returns how
+// often each outcome of ask was seen, and the most that each process used.
+func besideCrowd(t *testing.T, processes []*fleet.Process, crowd []member, ask func() string) (map[string]int, []usage) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
 	defer cancel()
-	stop := watch(t, d.processes())
+	stop := watch(t, processes)
 	outcomes := make(map[string]int)
-	ordinaryDone := make(chan struct{})
-	go func() {
-		defer close(ordinaryDone)
+	var asking sync.WaitGroup
+	asking.Go(func() {
 		for ; ctx.Err() == nil; wait(ctx, 100*time.Millisecond) {
-			outcomes[d.ask(d.vms[0], "/book/1")]++
+			outcomes[ask()]++
 		}
-	}()
-	run(ctx, clients)
-	<-ordinaryDone
-	t.Logf("ordinary requests beside the crowd: %v", outcomes)
-	for i, most := range stop() {
-		p := d.vms[i].node
+	})
+	run(ctx, crowd)
+	asking.Wait()
+	return outcomes, stop()
+}
+
+// checkUsage checks that processes live and have stayed within their limits.
+func checkUsage(t *testing.T, processes []*fleet.Process, most []usage, l limits) {
+	t.Helper()
+	for i, p := range processes {
 		assert.Assert(t, p.Running(), "%s has ended", p.Name)
 		peak, err := peakResidentBytes(p)
 		assert.NilError(t, err)
+		u, memory := most[i], int64(l.memoryMegabytes)<<20
+		sum := u.residentBytes + u.unreadBytes
 		t.Logf("%s: %d MB resident, %d MB resident and unread (%d MB unread), %d descriptors, %d sockets", p.Name,
-			peak>>20, (most.residentBytes+most.unreadBytes)>>20, most.unreadBytes>>20, most.descriptors, most.sockets)
-		assert.Check(t, peak <= int64(l.memoryMegabytes)<<20, "%s: %d MB resident", p.Name, peak>>20)
-		assert.Check(t, most.residentBytes+most.unreadBytes <= int64(l.memoryMegabytes)<<20, "%s: %d MB resident and unread", p.Name, (most.residentBytes+most.unreadBytes)>>20)
-		assert.Check(t, most.descriptors <= l.descriptors, "%s: %d descriptors", p.Name, most.descriptors)
-		assert.Check(t, most.sockets <= l.descriptors-reservedDescriptors, "%s: %d sockets", p.Name, most.sockets)
+			peak>>20, sum>>20, u.unreadBytes>>20, u.descriptors, u.sockets)
+		assert.Check(t, peak <= memory, "%s: %d MB resident", p.Name, peak>>20)
+		assert.Check(t, sum <= memory, "%s: %d MB resident and unread", p.Name, sum>>20)
+		assert.Check(t, u.descriptors <= l.descriptors, "%s: %d descriptors", p.Name, u.descriptors)
+		assert.Check(t, u.sockets <= l.descriptors-reservedDescriptors, "%s: %d sockets", p.Name, u.sockets)
 	}
-	d.waitServed()
 }
 
 // checkAtCallersPort puts a crowd of one kind at the port for callers of one node.
--- a/stand/crowd/process_test.go
+++ b/stand/crowd/process_test.go
@@ -41,7 +41,7 @@
 		if programDir, errBuild = os.MkdirTemp("", "crowd"); errBuild != nil {
 			return
 		}
-		command := exec.Command("go", "build", "-o", programDir+string(filepath.Separator), "./platform", "./node", "./ggw")
+		command := exec.Command("go", "build", "-o", programDir+string(filepath.Separator), "./platform", "./node", "./ggw", "./stand")
 		command.Dir = filepath.Join("..", "..")
 		if output, err := command.CombinedOutput(); err != nil {
 			errBuild = fmt.Errorf("%w: %s", err, output)
