The own interface's port for nodes bounds headers and connections

That port is between nodes, but nothing else keeps strangers from it.

Cause: grpc-go takes headers of 16 MB a stream by default, waits 120 s for a handshake, and accepts any number of connections.

Change: headers of 64 KB, 5 s for a handshake, and a door that closes the connection from which nothing has arrived for longest. Nodes that gossip are heard from all the time.

--- a/gage/transport/guard/conn.go
+++ b/gage/transport/guard/conn.go
@@ -18,6 +18,8 @@
 	net.Conn
 	door  *Door
 	entry *evict.Conn
+	// isOpaque is true if the server speaks another protocol than HTTP.
+	isOpaque bool
 
 	// The door's mu protects the fields below.
 
@@ -77,6 +79,9 @@
 func (d *Door) received(c *conn, text []byte) headResult {
 	limit := d.options.MaxHeaderBytes() + readAheadBytes
 	d.mu.Lock()
+	if c.isOpaque {
+		d.table.Begin(d.options.Clock.Now(), c.entry)
+	}
 	if !c.inHead {
 		d.mu.Unlock()
 		return headAccepted
--- a/gage/transport/guard/guard.go
+++ b/gage/transport/guard/guard.go
@@ -120,10 +120,17 @@
 	return server.Serve(&listener{Listener: l, door: d})
 }
 
+// Listener returns a listener for a server of another protocol than HTTP. The door closes
+// the connection from which nothing has arrived for longest.
+func (d *Door) Listener(l net.Listener) net.Listener {
+	return &listener{Listener: l, door: d, isOpaque: true}
+}
+
 // listener accepts the connections of a door.
 type listener struct {
 	net.Listener
-	door *Door
+	door     *Door
+	isOpaque bool
 }
 
 // Accept returns the next connection for which there is room.
@@ -133,7 +140,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if c, ok := l.door.open(accepted); ok {
+		if c, ok := l.door.open(accepted, l.isOpaque); ok {
 			return c, nil
 		}
 	}
@@ -141,8 +148,8 @@
 
 // open adds an accepted connection, or closes it and returns false. While there is no room,
 // it waits up to maxRoomWait: further connections wait in the kernel meanwhile.
-func (d *Door) open(accepted net.Conn) (net.Conn, bool) {
-	c := &conn{Conn: accepted, door: d, inHead: true}
+func (d *Door) open(accepted net.Conn, isOpaque bool) (net.Conn, bool) {
+	c := &conn{Conn: accepted, door: d, isOpaque: isOpaque, inHead: !isOpaque}
 	if d.admit(c) {
 		return c, true
 	}
--- a/node/run/build.go
+++ b/node/run/build.go
@@ -28,6 +28,7 @@
 	"github.com/greengagewind/greengagewind/gage/state/route"
 	"github.com/greengagewind/greengagewind/gage/transport/clock"
 	"github.com/greengagewind/greengagewind/gage/transport/etcd"
+	"github.com/greengagewind/greengagewind/gage/transport/guard"
 	"github.com/greengagewind/greengagewind/gage/transport/logkv"
 	"github.com/greengagewind/greengagewind/gage/transport/peer"
 	"github.com/greengagewind/greengagewind/gage/transport/relay"
@@ -68,6 +69,7 @@
 	relay        *relay.Relay
 
 	peerServer     *grpc.Server
+	peerDoor       *guard.Door
 	callerServer   *serve.Server
 	targetServer   *serve.Server
 	operatorServer *serve.Server
--- a/node/run/servers.go
+++ b/node/run/servers.go
@@ -26,6 +26,9 @@
 // The limits of connections from other nodes.
 const (
 	maxPeerMessageBytes = 2 << 20
+	maxPeerHeaderBytes  = 64 << 10
+	// peerHandshakeTimeout bounds the time until a new connection speaks HTTP/2.
+	peerHandshakeTimeout = 5 * time.Second
 	// maxPeerStreams is the maximum number of concurrent calls on a connection.
 	maxPeerStreams      = 4096
 	minPeerPingInterval = 5 * time.Second
@@ -36,6 +39,7 @@
 var (
 	callersShare   = guard.Share{Memory: 0.25, Sockets: 0.2}
 	targetsShare   = guard.Share{Memory: 0.15, Sockets: 0.1}
+	peersShare     = guard.Share{Memory: 0.15, Sockets: 0.15}
 	operatorsShare = guard.Share{Memory: 0.02, Sockets: 0.02}
 )
 
@@ -58,6 +62,7 @@
 	door := func(name string, share guard.Share, refusal http.Handler) *guard.Door {
 		return guard.New(name, share, refusal, n.guardOptions())
 	}
+	n.peerDoor = door("peers", peersShare, nil)
 	refusal := edge.Refusal(newID)
 	var err error
 	callerDoor := door("callers", callersShare, refusal)
@@ -78,6 +83,8 @@
 		grpc.MaxRecvMsgSize(maxPeerMessageBytes),
 		grpc.MaxSendMsgSize(maxPeerMessageBytes),
 		grpc.MaxConcurrentStreams(maxPeerStreams),
+		grpc.MaxHeaderListSize(maxPeerHeaderBytes),
+		grpc.ConnectionTimeout(peerHandshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPeerPingInterval, PermitWithoutStream: true}),
 	)
 	peer.RegisterForward(n.peerServer, n.host, n.clock, n.processID())
@@ -105,12 +112,12 @@
 
 // startPeers starts the gRPC server and the gossip socket for other nodes.
 func (n *node) startPeers() error {
-	listener, err := net.Listen("tcp", n.settings.PeerAddress)
+	listener, err := guard.Listen(n.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", n.settings.PeerAddress, err)
 	}
 	n.tasks.Go(func() {
-		if err := n.peerServer.Serve(listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		if err := n.peerServer.Serve(n.peerDoor.Listener(listener)); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 			n.logger.Error("PeerServerFailed", zap.Error(err))
 		}
 	})
--- a/stand/crowd/own_test.go
+++ b/stand/crowd/own_test.go
@@ -23,6 +23,7 @@
 	// times as long as on the users' platform.
 	ownCrowdSize   = 600
 	ownHeaderBytes = 64 << 10
+	ownPeerPort    = "8082"
 	ownTargetPort  = "8081"
 	ownOperPort    = "8083"
 )
@@ -144,3 +145,35 @@
 		})
 	}
 }
+
+// Connections of the protocol between nodes, whose streams have headers without end.
+func TestOwnInterfacePortForNodes(t *testing.T) {
+	const preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+	const settings = "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+	// A HEADERS frame without END_HEADERS on stream 1, and CONTINUATION frames of literal
+	// fields with new names.
+	const headers = "\x00\x00\x00\x01\x00\x00\x00\x00\x01"
+	continuation := func(i int) string {
+		field := fmt.Sprintf("\x00\x08x%07x\x01a", i)
+		block := strings.Repeat(field, 1000)
+		return string([]byte{byte(len(block) >> 16), byte(len(block) >> 8), byte(len(block))}) + "\x09\x00\x00\x00\x00\x01" + block
+	}
+	kinds := map[string]sender{
+		"idle": sendNothing,
+		"streams": func(ctx context.Context, c net.Conn) error {
+			if _, err := io.WriteString(c, preface+settings+headers); err != nil {
+				return err
+			}
+			return repeat(ctx, c, continuation)
+		},
+		"idle after the preface": func(_ context.Context, c net.Conn) error {
+			if _, err := io.WriteString(c, preface+settings); err != nil {
+				return err
+			}
+			return hold(c)
+		},
+	}
+	for name, send := range kinds {
+		t.Run(name, func(t *testing.T) { checkOwn(t, ownPeerPort, send) })
+	}
+}
