--- a/node/run/servers.go
+++ b/node/run/servers.go
@@ -39,7 +39,9 @@
 var (
 	callersShare   = guard.Share{Memory: 0.25, Sockets: 0.2}
 	targetsShare   = guard.Share{Memory: 0.15, Sockets: 0.1}
-	peersShare     = guard.Share{Memory: 0.15, Sockets: 0.15}
+	// Half of peersShare is for requests in hand, which the door of another protocol does not
+	// know. The rest has room for a connection of each other node of a large fleet.
+	peersShare     = guard.Share{Memory: 0.4, Sockets: 0.15}
 	operatorsShare = guard.Share{Memory: 0.02, Sockets: 0.02}
 )
 
