--- a/stand/grind/grind.go
+++ b/stand/grind/grind.go
@@ -142,6 +142,8 @@
 	name, zone, ip, settings string
 	// service is the service of the VM's first target.
 	service string
+	// startMu is held while the process is started.
+	startMu sync.Mutex
 	process *fleet.Process
 	// targets holds all incarnations of the target.
 	targets targetSet
@@ -256,8 +258,14 @@
 	return nil
 }
 
-// startProcess starts the process of a VM.
+// startProcess starts the process of a VM, unless another fault that overlaps with this one
+// has started it again already.
 func (c *cluster) startProcess(v *vm) error {
+	v.startMu.Lock()
+	defer v.startMu.Unlock()
+	if v.process != nil && v.process.Running() {
+		return nil
+	}
 	log := filepath.Join(c.options.Dir, v.name+".log")
 	process, err := fleet.StartProcess(v.name, log, filepath.Join(c.options.Bin, "platform"), "--settings", v.settings)
 	v.process = process
