--- a/gage/state/evict/evict.go
+++ b/gage/state/evict/evict.go
@@ -19,9 +19,6 @@
 	// LineBytes is the estimated memory that a line of a header takes beyond its length: map
 	// entries and slices, in the copies that a request passes through.
 	LineBytes = 200
-	// requestConnShare is the share of the connections that may have a request in hand.
-	// The others leave room for clients whose requests can only be refused.
-	requestConnShare = 0.8
 	// requestByteShare is the share of the memory that requests in hand may take. The rest
 	// is for connections and headers, so that neither crowds out the other.
 	requestByteShare = 0.5
@@ -34,14 +31,16 @@
 
 // Limits bound the connections of one server together.
 type Limits struct {
-	// Conns is the maximum number of connections.
-	Conns int
+	// Conns is the maximum number of connections, and Requests that of connections with a
+	// request in hand. It is lower, which leaves room for clients whose requests can only be
+	// refused.
+	Conns, Requests int
 	// Bytes is the maximum of their estimated memory.
 	Bytes int64
 }
 
 // Unlimited are the limits of a process whose memory and descriptors are not limited.
-var Unlimited = Limits{Conns: math.MaxInt, Bytes: math.MaxInt64}
+var Unlimited = Limits{Conns: math.MaxInt, Requests: math.MaxInt, Bytes: math.MaxInt64}
 
 // Conn is a connection of a Table. Only the table changes it.
 type Conn struct {
@@ -86,7 +85,7 @@
 	requestBytes := int64(requestByteShare * float64(limits.Bytes))
 	return &Table{
 		maxConns: limits.Conns, maxBytes: limits.Bytes - requestBytes,
-		maxInHand:  max(1, min(int(requestConnShare*float64(limits.Conns)), int(requestBytes/RequestBytes))),
+		maxInHand:  max(1, min(limits.Requests, int(requestBytes/RequestBytes))),
 		maxClosing: max(minClosing, int(closingShare*float64(limits.Conns))),
 	}
 }
@@ -238,7 +237,7 @@
 // Shed removes connections with a request in hand until what the others have received and
 // the server has not read is at most limit, and returns them: those that wait for their
 // clients, the slowest first, then those with most unread bytes. unread returns the unread
-// bytes of a connection. They do not count as closing: the server may work for them still.
+// bytes of a connection.
 func (t *Table) Shed(limit int64, unread func(c *Conn) int64) []*Conn {
 	type holder struct {
 		conn   *Conn
@@ -272,8 +271,10 @@
 		if sum <= limit {
 			break
 		}
+		if !t.evict(h.conn) {
+			break
+		}
 		sum -= h.unread
-		t.Close(h.conn)
 		evicted = append(evicted, h.conn)
 	}
 	return evicted
--- a/gage/state/evict/evict_test.go
+++ b/gage/state/evict/evict_test.go
@@ -32,7 +32,7 @@
 }
 
 func TestTheSlowestIsClosedForANewConnection(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 3, Bytes: 1 << 30})
+	table := evict.New(evict.Limits{Conns: 3, Requests: 3, Bytes: 1 << 30})
 	open(t, table, at(0), "idle")
 	working := open(t, table, at(0), "working")
 	table.Resume(working, 0)
@@ -47,7 +47,7 @@
 }
 
 func TestNoConnectionIsClosedWhileTheServerWorksForIt(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 2, Bytes: 1 << 30})
+	table := evict.New(evict.Limits{Conns: 2, Requests: 2, Bytes: 1 << 30})
 	for _, name := range []string{"a", "b"} {
 		c := open(t, table, at(0), name)
 		table.Resume(c, 0)
@@ -60,7 +60,7 @@
 
 // A wait that ends after its request must not make the next wait look like work.
 func TestLateEndOfAWaitIsIgnored(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 1, Bytes: 1 << 30})
+	table := evict.New(evict.Limits{Conns: 1, Requests: 1, Bytes: 1 << 30})
 	c := open(t, table, at(0), "a")
 	table.Resume(c, 0)
 	request := table.Wait(c)
@@ -72,7 +72,7 @@
 }
 
 func TestMemoryThatDoesNotFitClosesTheSlowest(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 10, Bytes: 6 * evict.ConnBytes})
+	table := evict.New(evict.Limits{Conns: 10, Requests: 10, Bytes: 6 * evict.ConnBytes})
 	slow := open(t, table, at(0), "slow")
 	fast := open(t, table, at(time.Second), "fast")
 	evicted, ok := table.Grow(fast, 2*evict.ConnBytes)
@@ -88,7 +88,7 @@
 
 // A long header makes way for another one, an ordinary request that began before does not.
 func TestShortHeadersOutliveLongOnes(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 10, Bytes: 2 * (10 << 20)})
+	table := evict.New(evict.Limits{Conns: 10, Requests: 10, Bytes: 2 * (10 << 20)})
 	open(t, table, at(0), "short")
 	long := open(t, table, at(time.Second), "long")
 	longer := open(t, table, at(2*time.Second), "longer")
@@ -104,8 +104,8 @@
 func TestRequestsInHandLeaveRoom(t *testing.T) {
 	const taken = 8
 	cases := map[string]evict.Limits{
-		"connections": {Conns: 10, Bytes: 1 << 30},
-		"memory":      {Conns: 1000, Bytes: 2 * taken * evict.RequestBytes},
+		"connections": {Conns: 10, Requests: taken, Bytes: 1 << 30},
+		"memory":      {Conns: 1000, Requests: 1000, Bytes: 2 * taken * evict.RequestBytes},
 	}
 	for name, limits := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -134,7 +134,7 @@
 }
 
 func TestUnreadBytesBeyondTheLimitCloseStoppedClientsFirst(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 10, Bytes: 1 << 30})
+	table := evict.New(evict.Limits{Conns: 10, Requests: 10, Bytes: 1 << 30})
 	unread := map[string]int64{"idle": 100, "stopped": 10, "stopped later": 10, "long": 30, "short": 10}
 	for i, name := range []string{"idle", "stopped later", "stopped", "short", "long"} {
 		c := open(t, table, at(time.Duration(10-i)*time.Second), name)
@@ -159,7 +159,7 @@
 // return faster than that.
 func TestEvictedConnectionsMakeRoomWhenTheyHaveEnded(t *testing.T) {
 	const maxClosing = 4
-	table := evict.New(evict.Limits{Conns: 10, Bytes: 1 << 30})
+	table := evict.New(evict.Limits{Conns: 10, Requests: 10, Bytes: 1 << 30})
 	for range 10 {
 		_, ok := table.Grow(open(t, table, at(0), "first"), 1)
 		assert.Assert(t, ok)
@@ -182,7 +182,7 @@
 
 // Connections without a request take no room from requests.
 func TestIdleConnectionsLeaveRoomForRequests(t *testing.T) {
-	table := evict.New(evict.Limits{Conns: 1000, Bytes: 20 * evict.ConnBytes})
+	table := evict.New(evict.Limits{Conns: 1000, Requests: 1000, Bytes: 20 * evict.ConnBytes})
 	var last *evict.Conn
 	for range 50 {
 		c, _, ok := table.Open(at(0), "idle")
@@ -208,7 +208,7 @@
 // that it closes waits for its client and has waited as long as any other.
 func TestRandomUse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := evict.Limits{Conns: rapid.IntRange(1, 6).Draw(t, "conns"), Bytes: int64(rapid.IntRange(4, 24).Draw(t, "bytes")) * evict.ConnBytes}
+		limits := evict.Limits{Conns: rapid.IntRange(1, 6).Draw(t, "conns"), Requests: rapid.IntRange(1, 6).Draw(t, "requests"), Bytes: int64(rapid.IntRange(4, 24).Draw(t, "bytes")) * evict.ConnBytes}
 		table := evict.New(limits)
 		now := start
 		var model []*modelConn
@@ -338,6 +338,9 @@
 				if table.Len() != len(model) || table.Bytes() != bytes {
 					t.Fatalf("%d connections of %d bytes, want %d of %d", table.Len(), table.Bytes(), len(model), bytes)
 				}
+				if table.InHand() > limits.Requests {
+					t.Fatalf("%d requests in hand exceed %+v", table.InHand(), limits)
+				}
 				if len(model) > limits.Conns || bytes > limits.Bytes {
 					t.Fatalf("%d connections of %d bytes exceed %+v", len(model), bytes, limits)
 				}
--- a/gage/transport/guard/conn.go
+++ b/gage/transport/guard/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -18,6 +19,9 @@
 	net.Conn
 	door  *Door
 	entry *evict.Conn
+	// cancel ends the contexts of the connection's requests. A handler that does not read from
+	// the connection would not notice its end.
+	cancel context.CancelFunc
 	// isOpaque is true if the server speaks another protocol than HTTP.
 	isOpaque bool
 
@@ -163,6 +167,9 @@
 	c.door.table.Close(c.entry)
 	c.door.signalRoom()
 	c.door.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
 	return c.Conn.Close()
 }
 
@@ -174,7 +181,7 @@
 	return nil
 }
 
-// abort closes the connection. In the middle of a request, it also drops what was written
+// abort closes the connection and cancels its request. In the middle of a request, it also drops what was written
 // and not sent, which the kernel would hold for a while.
 func (c *conn) abort() {
 	c.door.mu.Lock()
@@ -184,6 +191,9 @@
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Conn.Close()
+	if c.cancel != nil {
+		c.cancel()
+	}
 }
 
 // handler tells the door when a request waits for its client.
--- a/gage/transport/guard/guard.go
+++ b/gage/transport/guard/guard.go
@@ -25,7 +25,7 @@
 // minBytes and minConns are what a server may take at least, however small its share.
 const (
 	minBytes = 2 << 20
-	minConns = 8
+	minConns = 4
 )
 
 const (
@@ -49,7 +49,11 @@
 
 // Share is the part of a process's limits that the connections of one server may take.
 type Share struct {
-	Memory, Sockets float64
+	// Memory is divided equally between connections with their headers, and requests in hand.
+	Memory float64
+	// Sockets is for accepted connections, Requests for those of them that have a request in
+	// hand.
+	Sockets, Requests float64
 }
 
 // Door tracks the connections of one server. It is safe for concurrent use.
@@ -97,7 +101,9 @@
 		l.Bytes = max(minBytes, int64(share.Memory*float64(options.MemoryBytes)))
 	}
 	if options.Descriptors > 0 {
-		l.Conns = max(minConns, int(share.Sockets*float64(Sockets(options.Descriptors))))
+		sockets := float64(Sockets(options.Descriptors))
+		l.Conns = max(minConns, int(share.Sockets*sockets))
+		l.Requests = max(minConns, int(share.Requests*sockets))
 	}
 	return l
 }
@@ -115,6 +121,9 @@
 		if inner != nil {
 			ctx = inner(ctx, c)
 		}
+		if tracked, ok := c.(*conn); ok {
+			ctx, tracked.cancel = context.WithCancel(ctx)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	return server.Serve(&listener{Listener: l, door: d})
--- a/gage/transport/guard/guard_test.go
+++ b/gage/transport/guard/guard_test.go
@@ -38,7 +38,7 @@
 	options.Clock, options.Logger, options.Metrics = clock.System{}, zap.NewNop(), metrics.NewSet()
 	options.MaxHeaderBytes = func() int { return maxHeaderBytes }
 	refusal := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
-	door := guard.New("test", guard.Share{Memory: 1, Sockets: 1}, refusal, options)
+	door := guard.New("test", guard.Share{Memory: 1, Sockets: 1, Requests: 0.8}, refusal, options)
 	listener, err := guard.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
@@ -112,6 +112,26 @@
 	}
 }
 
+// The handler of a request whose connection is closed for another ends, also while it waits
+// for something else and does not read.
+func TestRequestOfAClosedConnectionIsCanceled(t *testing.T) {
+	canceled := make(chan struct{}, 100)
+	address := serve(t, guard.Options{MemoryBytes: 4 << 20}, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		canceled <- struct{}{}
+	})
+	const clients, unread = 31, 1 << 20
+	for range clients {
+		c := connect(t, address, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n")
+		go func() { _, _ = io.WriteString(c, strings.Repeat("x", unread)) }()
+	}
+	select {
+	case <-canceled:
+	case <-time.After(timeout):
+		t.Fatal("no request is canceled")
+	}
+}
+
 // A client that has stopped in the middle of a body gives way to another request.
 func TestStalledBodyGivesWay(t *testing.T) {
 	address := serve(t, guard.Options{Descriptors: descriptors}, func(_ http.ResponseWriter, r *http.Request) {
--- a/gage/transport/guard/opaque_test.go
+++ b/gage/transport/guard/opaque_test.go
@@ -17,7 +17,7 @@
 // Of the connections of another protocol, the one from which nothing has arrived for longest
 // makes room.
 func TestSilentConnectionsOfOtherProtocolsAreClosed(t *testing.T) {
-	door := guard.New("test", guard.Share{Memory: 1, Sockets: 1}, nil, guard.Options{
+	door := guard.New("test", guard.Share{Memory: 1, Sockets: 1, Requests: 0.8}, nil, guard.Options{
 		Descriptors: descriptors, MaxHeaderBytes: func() int { return 1 },
 		Clock: clock.System{}, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
 	})
--- a/gage/transport/guard/unread.go
+++ b/gage/transport/guard/unread.go
@@ -17,7 +17,7 @@
 	// memory of the process.
 	ReceiveBufferBytes = 64 << 10
 	// unreadShare is the part of a server's memory that unread bytes may take besides.
-	unreadShare = 0.5
+	unreadShare = 0.3
 	// unreadInterval is the interval between looks at unread bytes while there are so many
 	// requests in hand that they might exceed their limit.
 	unreadInterval = 50 * time.Millisecond
--- a/node/run/servers.go
+++ b/node/run/servers.go
@@ -37,12 +37,12 @@
 // The shares of the process's memory and sockets that the connections of each server may
 // take. Each connection may need one more socket, to another node or to a target.
 var (
-	callersShare = guard.Share{Memory: 0.25, Sockets: 0.2}
-	targetsShare = guard.Share{Memory: 0.15, Sockets: 0.1}
+	callersShare = guard.Share{Memory: 0.25, Sockets: 0.2, Requests: 0.16}
+	targetsShare = guard.Share{Memory: 0.15, Sockets: 0.1, Requests: 0.08}
 	// Half of peersShare is for requests in hand, which the door of another protocol does not
 	// know. The rest has room for a connection of each other node of a large fleet.
 	peersShare     = guard.Share{Memory: 0.4, Sockets: 0.15}
-	operatorsShare = guard.Share{Memory: 0.02, Sockets: 0.02}
+	operatorsShare = guard.Share{Memory: 0.02, Sockets: 0.02, Requests: 0.02}
 )
 
 func (n *node) guardOptions() guard.Options {
