guard: the cancellation of a connection is read under the lock

Cause: a connection may be closed for another one while the server still makes its context, so the field was read and written at once. Found by reading; the worst case was a request that was not canceled.

Change: the door's lock protects it.

--- a/gage/transport/guard/conn.go
+++ b/gage/transport/guard/conn.go
@@ -19,14 +19,14 @@
 	net.Conn
 	door  *Door
 	entry *evict.Conn
-	// cancel ends the contexts of the connection's requests. A handler that does not read from
-	// the connection would not notice its end.
-	cancel context.CancelFunc
 	// isOpaque is true if the server speaks another protocol than HTTP.
 	isOpaque bool
 
 	// The door's mu protects the fields below.
 
+	// cancel ends the contexts of the connection's requests. A handler that does not read from
+	// the connection would not notice its end. It is nil until the server has the connection.
+	cancel context.CancelFunc
 	// inHead is true until the header of a request has been read.
 	inHead bool
 	// headBytes is how much was received since the wait for a header began.
@@ -166,9 +166,10 @@
 	c.door.mu.Lock()
 	c.door.table.Close(c.entry)
 	c.door.signalRoom()
+	cancel := c.cancel
 	c.door.mu.Unlock()
-	if c.cancel != nil {
-		c.cancel()
+	if cancel != nil {
+		cancel()
 	}
 	return c.Conn.Close()
 }
@@ -181,18 +182,18 @@
 	return nil
 }
 
-// abort closes the connection and cancels its request. In the middle of a request, it also drops what was written
-// and not sent, which the kernel would hold for a while.
+// abort closes the connection and cancels its request. In the middle of a request, it also
+// drops what was written and not sent, which the kernel would hold for a while.
 func (c *conn) abort() {
 	c.door.mu.Lock()
-	isIdle := c.inHead && c.headBytes == 0
+	isIdle, cancel := c.inHead && c.headBytes == 0, c.cancel
 	c.door.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && !isIdle {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Conn.Close()
-	if c.cancel != nil {
-		c.cancel()
+	if cancel != nil {
+		cancel()
 	}
 }
 
--- a/gage/transport/guard/guard.go
+++ b/gage/transport/guard/guard.go
@@ -121,14 +121,23 @@
 		if inner != nil {
 			ctx = inner(ctx, c)
 		}
-		if tracked, ok := c.(*conn); ok {
-			ctx, tracked.cancel = context.WithCancel(ctx)
-		}
-		return context.WithValue(ctx, connKey{}, c)
+		return context.WithValue(d.cancelable(ctx, c), connKey{}, c)
 	}
 	return server.Serve(&listener{Listener: l, door: d})
 }
 
+// cancelable returns a context that ends with a connection.
+func (d *Door) cancelable(ctx context.Context, nc net.Conn) context.Context {
+	c, ok := nc.(*conn)
+	if !ok {
+		return ctx
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, c.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
 // Listener returns a listener for a server of another protocol than HTTP. The door closes
 // the connection from which nothing has arrived for longest.
 func (d *Door) Listener(l net.Listener) net.Listener {
