hop: cheaper checks of names and of lines that begin with a blank

Cause: the search for odd lines looked at each byte of a header, and the check of names searched a list of signs for each byte.

Change: only the beginning and the end of a line are looked at, and a table tells the bytes of tokens.

What is left: the locks of the door at each read and write.

--- a/gage/protocol/header/response.go
+++ b/gage/protocol/header/response.go
@@ -29,13 +29,19 @@
 
 // isToken reports whether a name is a token as RFC 9110 defines it.
 func isToken(name string) bool {
-	const signs = "!#$%&'*+-.^_`|~"
 	for i := range len(name) {
-		c := name[i]
-		isLetter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
-		if isDigit := '0' <= c && c <= '9'; !isLetter && !isDigit && !strings.ContainsRune(signs, rune(c)) {
+		if !tokenBytes[name[i]] {
 			return false
 		}
 	}
 	return name != ""
 }
+
+// tokenBytes holds the bytes of tokens.
+var tokenBytes = func() (allowed [256]bool) {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789" + letters + strings.ToUpper(letters)) {
+		allowed[b] = true
+	}
+	return allowed
+}()
--- a/gage/transport/hop/fold.go
+++ b/gage/transport/hop/fold.go
@@ -1,5 +1,7 @@
 package hop
 
+import "bytes"
+
 // foldFinder looks at the bytes of a header for lines that begin with a blank. net/http adds
 // such a line to the value of the one before (RFC 9112, 5.2), so that a name after a blank
 // would be passed on as a part of a value. It goes through interim responses and stops after
@@ -21,11 +23,25 @@
 func (f *foldFinder) start() { *f = foldFinder{inHead: true, isStatusLine: true} }
 
 func (f *foldFinder) look(text []byte) {
-	for _, b := range text {
-		if !f.inHead {
-			return
+	for len(text) > 0 && f.inHead {
+		size := bytes.IndexByte(text, '\n') + 1
+		if size == 0 {
+			size = len(text)
 		}
-		f.next(b)
+		f.lookAtLine(text[:size])
+		text = text[size:]
+	}
+}
+
+// lookAtLine looks at a line, or at a part of one without its end. Only the beginning and the
+// end of a line matter.
+func (f *foldFinder) lookAtLine(part []byte) {
+	i := 0
+	for ; i < len(part) && (f.length == 0 || f.isStatusLine && f.length <= len("HTTP/1.1 ")); i++ {
+		f.next(part[i])
+	}
+	if last := len(part) - 1; i <= last && part[last] == '\n' {
+		f.next('\n')
 	}
 }
 
